--- /dev/null
+++ b/src/backend/connections.rs
@@ -0,0 +1,156 @@
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+/// Idle connections kept for one address.
+const IDLE_PER_ADDRESS: usize = 64;
+/// How long an idle connection may be reused; older ones are more often silent.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+/// How long a small query of the daemon's own may take.
+const GET_LIMIT: Duration = Duration::from_secs(2);
+/// The pool is divided into this many shards, each under its own lock.
+const SHARDS: usize = 16;
+
+/// Why a request got no answer.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// No byte of the request left this process.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request may have arrived.
+    #[error("no answer: {0}")]
+    MaybeSent(String),
+}
+
+/// One HTTP/1.1 connection, used for one exchange at a time.
+type Sender = SendRequest<Full<Bytes>>;
+
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+/// Connections to backend servers.
+pub struct Connections {
+    connect: Duration,
+    shards: Vec<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+}
+
+/// A connection in use; it goes back only through [`Lent::give_back`].
+pub struct Lent<'a> {
+    owner: &'a Connections,
+    address: SocketAddr,
+    sender: Sender,
+}
+
+impl Connections {
+    /// Opens an empty pool; `connect` bounds how long a new connection may take.
+    pub fn open(connect: Duration) -> Self {
+        let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
+        Self { connect, shards }
+    }
+
+    /// Takes a connection, an idle one unless `fresh`.
+    ///
+    /// # Errors
+    /// [`SendError::NotSent`] where none can be opened.
+    pub async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Lent<'_>, SendError> {
+        if !fresh && let Some(sender) = self.idle(address) {
+            return Ok(Lent { owner: self, address, sender });
+        }
+        let dial = TcpStream::connect(address);
+        let stream = match tokio::time::timeout(self.connect, dial).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(cause)) => return Err(SendError::NotSent(cause.to_string())),
+            Err(_) => return Err(SendError::NotSent("connecting took too long".to_owned())),
+        };
+        let not_sent = |cause: String| SendError::NotSent(cause);
+        stream.set_nodelay(true).map_err(|cause| not_sent(cause.to_string()))?;
+        let opened = handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
+        let (sender, connection) = opened.map_err(|cause| not_sent(cause.to_string()))?;
+        tokio::spawn(async move {
+            // The exchange in progress reports the error to its caller.
+            let _ = connection.await;
+        });
+        Ok(Lent { owner: self, address, sender })
+    }
+
+    /// Fetches a small document; `None` where it cannot be had.
+    pub async fn get(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
+        let request = Request::get(path).body(Full::default()).ok()?;
+        tokio::time::timeout(GET_LIMIT, self.fetch(address, request)).await.ok()?
+    }
+
+    /// Posts a small JSON document and returns the answer's body; `None` without a whole answer of
+    /// status 200.
+    pub async fn post(&self, address: SocketAddr, path: &str, body: Bytes) -> Option<Bytes> {
+        let request = Request::post(path)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .ok()?;
+        tokio::time::timeout(GET_LIMIT, self.fetch(address, request)).await.ok()?
+    }
+
+    async fn fetch(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Bytes> {
+        let mut lent = self.take(address, false).await.ok()?;
+        let response = lent.send(request).await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        lent.give_back();
+        Some(body)
+    }
+
+    fn shard(&self, address: SocketAddr) -> &Mutex<HashMap<SocketAddr, Vec<Idle>>> {
+        &self.shards[address.port() as usize % SHARDS]
+    }
+
+    fn idle(&self, address: SocketAddr) -> Option<Sender> {
+        let mut shard = self.shard(address).lock().expect("connection lock");
+        let stack = shard.get_mut(&address)?;
+        while let Some(idle) = stack.pop() {
+            if idle.sender.is_ready() && idle.since.elapsed() < IDLE_LIMIT {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+}
+
+impl Lent<'_> {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// [`SendError::MaybeSent`], unless the connection was closed before anything was written.
+    pub async fn send(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let host = HeaderValue::from_str(&self.address.to_string()).expect("addresses are ASCII");
+        request.headers_mut().insert(header::HOST, host);
+        let outcome = self.sender.try_send_request(request).await;
+        outcome.map_err(|mut failed| match failed.take_message() {
+            Some(_) => SendError::NotSent(failed.error().to_string()),
+            None => SendError::MaybeSent(failed.error().to_string()),
+        })
+    }
+
+    /// Returns the connection after the whole answer was read.
+    pub fn give_back(self) {
+        let mut shard = self.owner.shard(self.address).lock().expect("connection lock");
+        let stack = shard.entry(self.address).or_default();
+        if stack.len() < IDLE_PER_ADDRESS {
+            stack.push(Idle { sender: self.sender, since: Instant::now() });
+        }
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,24 @@
+//! The control group's replicated state: configuration, tickets, fencing numbers, router leases.
+
+mod command;
+mod config;
+mod lease_table;
+mod model;
+mod organisation;
+mod rollout;
+mod service;
+mod state;
+mod ticket;
+mod validate;
+mod version;
+
+pub use command::{ControlCommand, ControlOutcome};
+pub use config::Config;
+pub use lease_table::{LeaseTable, Router};
+pub use model::Model;
+pub use organisation::{Exhausted, KeyHash, KindRoute, KindRule, ModelGrant, Organisation};
+pub use rollout::{Rollout, RolloutStatus};
+pub use service::{Repeat, Service};
+pub use state::ControlState;
+pub use ticket::{ObjectName, Ticket, TicketAnswer, TicketDigest, TicketRecord, TicketRefusal};
+pub use version::{Price, Version, VersionState};
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,13 @@
+//! The daemon: everything put together, its duties as leader, its start and its stop.
+
+mod lead;
+mod lease_loop;
+mod membership;
+mod node;
+mod operate;
+mod peer_server;
+mod start;
+mod stop;
+
+pub use node::Node;
+pub use start::run;
--- /dev/null
+++ b/src/daemon/node.rs
@@ -0,0 +1,129 @@
+use super::lead::LeaderLeases;
+use crate::consensus::{Member, Members};
+use crate::error::Error;
+use crate::event::{Event, Journal};
+use crate::group::{Group, GroupId, GroupStatus, Replicated};
+use crate::name::VmName;
+use crate::peer::{Cluster, GroupView, NodeStatus, PeerIdentity};
+use crate::route::Router;
+use crate::settings::Settings;
+use crate::storage::DataFolder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use std::sync::{Arc, Mutex};
+
+/// One running daemon.
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its events.
+    pub journal: Arc<Journal>,
+    /// Its groups and links.
+    pub cluster: Arc<Cluster>,
+    /// Its router.
+    pub router: Arc<Router>,
+    /// Its data folder, where it has one.
+    pub folder: Mutex<Option<DataFolder>>,
+    /// Leases that it granted as leader.
+    pub leases: Mutex<Option<LeaderLeases>>,
+    /// Its metrics.
+    pub metrics: PrometheusHandle,
+    /// Told when an operator asks it to stop.
+    pub stop: tokio::sync::Notify,
+}
+
+impl Node {
+    /// Who this daemon is.
+    pub fn identity(&self) -> PeerIdentity {
+        self.cluster.net().own()
+    }
+
+    /// This daemon as a member of groups.
+    pub fn member(&self) -> Member {
+        let PeerIdentity { vm, member, data_centre, durable, .. } = self.identity();
+        Member { id: member, vm, data_centre, durable }
+    }
+
+    /// Founds a cluster with this daemon as the only voter of every group.
+    ///
+    /// # Errors
+    /// Where the daemon is diskless or belongs to a cluster already.
+    pub fn found(&self) -> Result<String, Error> {
+        let refused = |message: &str| Error::Refused { message: message.to_owned() };
+        let known = self.identity().cluster;
+        if let Some(cluster) = known {
+            let text = format!("this daemon already belongs to cluster {cluster:032x}");
+            return Err(refused(&text));
+        }
+        if !self.identity().durable {
+            return Err(refused(
+                "this daemon has no data folder; found the cluster on one that has",
+            ));
+        }
+        let cluster: u128 = rand::random();
+        self.join(cluster)?;
+        let members = Members { voters: vec![self.member()], learners: Vec::new() };
+        self.cluster.groups().for_each(|group| group.found(members.clone()));
+        let cluster = format!("{cluster:032x}");
+        self.journal.record(Event::ClusterFounded { cluster: cluster.clone() });
+        Ok(cluster)
+    }
+
+    /// Takes a cluster's identity over, durably where there is a data folder.
+    ///
+    /// # Errors
+    /// Where the data folder cannot be written.
+    pub fn join(&self, cluster: u128) -> Result<(), Error> {
+        let mut folder = self.folder.lock().expect("folder lock");
+        if let Some(folder) = folder.as_mut() {
+            folder.join(cluster)?;
+        }
+        self.cluster.net().set_cluster(cluster);
+        Ok(())
+    }
+
+    /// What the daemon says of itself.
+    pub fn status(&self) -> NodeStatus {
+        let identity = self.identity();
+        NodeStatus {
+            vm: identity.vm,
+            data_centre: identity.data_centre,
+            durable: identity.durable,
+            cluster: identity.cluster.map(|id| format!("{id:032x}")),
+            revision: self.router.lease.revision().unwrap_or(0),
+            lease: self.router.lease.left().as_millis() as u64,
+            requests: self.router.counters.requests(),
+            draining: self.router.is_draining(),
+            groups: self.cluster.groups().map(|group| self.view(group)).collect(),
+        }
+    }
+
+    /// The leader of the control group, as far as known.
+    pub fn leader(&self) -> Option<VmName> {
+        self.cluster.leader(GroupId::Control)
+    }
+
+    /// Reads the control state.
+    pub fn control<F, T>(&self, look: F) -> T
+    where
+        F: FnOnce(&crate::control::ControlState) -> T,
+    {
+        self.cluster.control().read(|state| match state {
+            Replicated::Control(state) => look(state),
+            Replicated::Ledger(_) => unreachable!("the control group holds control state"),
+        })
+    }
+
+    fn view(&self, group: &Group) -> GroupView {
+        let GroupStatus { term, leading, commit, members, .. } = group.status();
+        let names = |list: &[Member]| list.iter().map(|m| m.vm.clone()).collect();
+        GroupView {
+            group: group.id(),
+            term,
+            leader: self.cluster.leader(group.id()),
+            leading,
+            commit,
+            voters: names(&members.voters),
+            learners: names(&members.learners),
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/operate.rs
@@ -0,0 +1,151 @@
+//! Operators' calls, answered by the control group's leader or forwarded to it.
+
+use super::Node;
+use crate::control::{ControlCommand, ControlOutcome, Ticket, TicketAnswer};
+use crate::event::Event;
+use crate::group::{GroupId, Replicated};
+use crate::ledger::{Bill, BillSum, LedgerState};
+use crate::name::OrganisationName;
+use crate::peer::{OperatorCall, OperatorReply, Unavailable};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+use tarpc::context;
+
+/// How long a leader is looked for.
+const LEADER_LIMIT: Duration = Duration::from_secs(8);
+/// The pause before the leader is looked for again.
+const RETRY_AFTER: Duration = Duration::from_millis(50);
+
+impl Node {
+    /// Has the leader answer a call, wherever it is.
+    ///
+    /// # Errors
+    /// Where no leader answers in time.
+    pub async fn ask_leader(&self, call: OperatorCall) -> Result<OperatorReply, Unavailable> {
+        let until = Instant::now() + LEADER_LIMIT;
+        let mut round = 0;
+        while Instant::now() < until {
+            match self.ask_once(&call, round, until).await {
+                Some(OperatorReply::NotLeader { leader }) => {
+                    self.cluster.hint(GroupId::Control, leader);
+                }
+                Some(OperatorReply::Lost) | None => {}
+                Some(reply) => return Ok(reply),
+            }
+            round += 1;
+            tokio::time::sleep(RETRY_AFTER).await;
+        }
+        Err(Unavailable)
+    }
+
+    async fn ask_once(
+        &self,
+        call: &OperatorCall,
+        round: usize,
+        until: Instant,
+    ) -> Option<OperatorReply> {
+        if self.cluster.control().status().leading {
+            return Some(self.operate(call.clone()).await);
+        }
+        let client = self.cluster.way_to_leader(GroupId::Control, round)?;
+        let mut context = context::current();
+        context.deadline = until;
+        client.operate(context, call.clone()).await.ok()
+    }
+
+    /// Answers a call as leader.
+    pub async fn operate(&self, call: OperatorCall) -> OperatorReply {
+        let reply = self.answer(call).await;
+        match self.cluster.control().may_serve() {
+            true => reply,
+            false => OperatorReply::NotLeader { leader: self.leader() },
+        }
+    }
+
+    async fn answer(&self, call: OperatorCall) -> OperatorReply {
+        match call {
+            OperatorCall::Ticket { ticket, dry_run: true } => {
+                OperatorReply::Ticket(self.control(|state| state.try_ticket(&ticket)))
+            }
+            OperatorCall::Ticket { ticket, dry_run: false } => self.apply_ticket(ticket).await,
+            OperatorCall::InForce { revision, wait } => {
+                self.in_force(revision, Duration::from_millis(wait)).await
+            }
+            OperatorCall::Tickets { most } => OperatorReply::Tickets(self.control(|state| {
+                state
+                    .tickets()
+                    .take(most)
+                    .map(|(number, record)| (number, record.clone()))
+                    .collect()
+            })),
+            OperatorCall::ShowTicket(number) => {
+                OperatorReply::ShowTicket(self.control(|state| state.ticket(number).cloned()))
+            }
+            OperatorCall::Config => {
+                OperatorReply::Config(self.control(|state| state.config().clone()))
+            }
+            OperatorCall::BillSums => OperatorReply::BillSums(self.bill_sums()),
+            OperatorCall::Bills(organisation) => OperatorReply::Bills(self.bills(&organisation)),
+        }
+    }
+
+    async fn apply_ticket(&self, ticket: Ticket) -> OperatorReply {
+        let number = ticket.number;
+        let command = ControlCommand::Ticket(ticket);
+        let bytes = postcard::to_stdvec(&command).expect("commands always serialise");
+        let Ok(outcome) = self.cluster.control().submit(bytes.into()).await else {
+            return OperatorReply::Lost;
+        };
+        let Ok(ControlOutcome::Ticket(answer)) = postcard::from_bytes(&outcome) else {
+            return OperatorReply::Lost;
+        };
+        self.journal.record(match &answer {
+            TicketAnswer::Accepted { revision } => {
+                Event::TicketAccepted { ticket: number, revision: *revision }
+            }
+            TicketAnswer::Refused(refusal) => {
+                Event::TicketRefused { ticket: number, reason: refusal.to_string() }
+            }
+        });
+        OperatorReply::Ticket(answer)
+    }
+
+    async fn in_force(&self, revision: u64, wait: Duration) -> OperatorReply {
+        match self.await_in_force(revision, wait).await {
+            Some((reached, lagging)) => OperatorReply::InForce { reached, lagging },
+            None => OperatorReply::NotLeader { leader: self.leader() },
+        }
+    }
+
+    fn bill_sums(&self) -> Vec<(OrganisationName, BillSum)> {
+        let mut sums: BTreeMap<OrganisationName, BillSum> = BTreeMap::new();
+        self.each_ledger(|state| {
+            for (name, sum) in state.sums() {
+                let total = sums.entry(name.clone()).or_default();
+                total.count += sum.count;
+                total.prompt += sum.prompt;
+                total.answer += sum.answer;
+                total.cost += sum.cost;
+            }
+        });
+        sums.into_iter().collect()
+    }
+
+    fn bills(&self, organisation: &OrganisationName) -> Vec<Bill> {
+        let mut bills = Vec::new();
+        self.each_ledger(|state| bills.extend(state.bills(organisation).cloned()));
+        bills
+    }
+
+    fn each_ledger<F>(&self, mut look: F)
+    where
+        F: FnMut(&LedgerState),
+    {
+        for group in self.cluster.groups() {
+            group.read(|state| match state {
+                Replicated::Ledger(state) => look(state),
+                Replicated::Control(_) => {}
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/peer_server.rs
@@ -0,0 +1,102 @@
+//! Serves other daemons.
+
+use super::Node;
+use crate::event::{Event, EventQuery};
+use crate::group::{Envelope, GroupId};
+use crate::peer::{
+    LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply, Peer, PeerIdentity, Postcard,
+    SubmitAnswer, accept,
+};
+use bytes::Bytes;
+use futures::StreamExt;
+use std::sync::Arc;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The procedures of one daemon.
+#[derive(Clone)]
+struct PeerServer(Arc<Node>);
+
+impl Peer for PeerServer {
+    async fn ping(self, _: Context) -> PeerIdentity {
+        self.0.identity()
+    }
+
+    async fn step(self, _: Context, batch: Vec<Envelope>) {
+        for Envelope { group, message } in batch {
+            if let Some(group) = self.0.cluster.group(group) {
+                group.step(message);
+            }
+        }
+    }
+
+    async fn submit(self, _: Context, id: GroupId, command: Bytes) -> SubmitAnswer {
+        let node = &self.0;
+        let Some(group) = node.cluster.group(id) else {
+            return SubmitAnswer::Failed {
+                error: crate::group::SubmitError::NotLeader,
+                leader: None,
+            };
+        };
+        match group.submit(command).await {
+            Ok(outcome) => SubmitAnswer::Applied(outcome),
+            Err(error) => SubmitAnswer::Failed { error, leader: node.cluster.leader(id) },
+        }
+    }
+
+    async fn lease(self, _: Context, ask: LeaseAsk) -> LeaseAnswer {
+        if !self.0.cluster.control().status().leading {
+            return LeaseAnswer::NotLeader { leader: self.0.leader() };
+        }
+        self.0.grant(ask).await
+    }
+
+    async fn operate(self, _: Context, call: OperatorCall) -> OperatorReply {
+        if !self.0.cluster.control().status().leading {
+            return OperatorReply::NotLeader { leader: self.0.leader() };
+        }
+        self.0.operate(call).await
+    }
+
+    async fn status(self, _: Context) -> NodeStatus {
+        self.0.status()
+    }
+
+    async fn events(self, _: Context, query: EventQuery) -> Vec<String> {
+        let events = self.0.journal.select(&query);
+        let line = |record| serde_json::to_string(record).expect("events always serialise");
+        events.iter().map(line).collect()
+    }
+}
+
+/// Accepts connections of other daemons for ever.
+pub async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_peer(node.clone(), stream));
+            }
+            Err(error) => log::warn!("cannot accept a peer: {error}"),
+        }
+    }
+}
+
+async fn serve_peer(node: Arc<Node>, stream: TcpStream) {
+    let own = node.identity();
+    let framed = match accept(stream, &node.settings.secret, &own).await {
+        Ok((framed, _)) => framed,
+        Err(error) => {
+            node.journal.record(Event::PeerRefused { reason: error.to_string() });
+            return;
+        }
+    };
+    let transport = tarpc::serde_transport::new(framed, Postcard);
+    let channel = BaseChannel::with_defaults(transport);
+    let requests = channel.execute(PeerServer(node).serve());
+    requests
+        .for_each(|response| async {
+            tokio::spawn(response);
+        })
+        .await;
+}
--- /dev/null
+++ b/src/daemon/start.rs
@@ -0,0 +1,157 @@
+use super::lease_loop::keep_lease;
+use super::membership::keep_members;
+use super::peer_server::serve_peers;
+use super::{Node, stop};
+use crate::backend::{Connections, LoadTable};
+use crate::consensus::{MemberId, Timing};
+use crate::control::{ControlState, Router as RouterName};
+use crate::error::Error;
+use crate::event::{Event, Journal};
+use crate::group::{Envelope, Group, GroupId, GroupOptions, Replicated};
+use crate::ledger::LedgerState;
+use crate::peer::{Cluster, PeerIdentity, PeerNet, dispatch};
+use crate::platform::VmList;
+use crate::route::{Counters, LedgerClient, Router, RouterLease};
+use crate::settings::Settings;
+use crate::storage::DataFolder;
+use crate::{caller, operator};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::{Arc, Mutex};
+use tokio::sync::mpsc;
+
+/// Entries behind a snapshot before the next one is taken.
+const SNAPSHOT_EVERY: u64 = 4_096;
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+/// Where it cannot start: ports, data folder.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let callers = bind(settings.callers)?;
+    let operators = bind(settings.operators)?;
+    let peers = bind(settings.peers)?;
+    let metrics = PrometheusBuilder::new().build_recorder();
+    let handle = metrics.handle();
+    if metrics::set_global_recorder(metrics).is_err() {
+        log::warn!("metrics were installed before");
+    }
+    let node = open(settings, handle).await?;
+    node.journal.record(Event::DaemonStarted {
+        data_centre: node.settings.data_centre.clone(),
+        durable: node.identity().durable,
+    });
+    peers.set_nonblocking(true).map_err(|cause| bind_error(node.settings.peers, cause))?;
+    let peers = tokio::net::TcpListener::from_std(peers)
+        .map_err(|cause| bind_error(node.settings.peers, cause))?;
+    tokio::spawn(serve_peers(node.clone(), peers));
+    tokio::spawn(keep_members(node.clone()));
+    tokio::spawn(keep_lease(node.clone()));
+    let caller_server = caller::serve(node.router.clone(), callers)?;
+    let operator_server = operator::serve(node.clone(), operators)?;
+    stop::run_until_stopped(node, caller_server, operator_server).await
+}
+
+async fn open(settings: Settings, metrics: PrometheusHandle) -> Result<Arc<Node>, Error> {
+    let journal = Arc::new(Journal::open(settings.vm.clone()));
+    let folder = match &settings.data_folder {
+        Some(path) => Some(DataFolder::open(path, &settings.vm)?),
+        None => None,
+    };
+    let stored = folder.as_ref().map(|folder| folder.identity().clone());
+    let identity = PeerIdentity {
+        vm: settings.vm.clone(),
+        member: MemberId(stored.as_ref().map_or_else(rand::random, |id| id.incarnation)),
+        run: rand::random(),
+        data_centre: settings.data_centre.clone(),
+        durable: stored.is_some(),
+        cluster: stored.and_then(|id| id.cluster),
+    };
+    let (member, run) = (identity.member, identity.run);
+    let net = PeerNet::spawn(&settings.peer_list, &settings.secret, identity, &journal);
+    let net = Arc::new(net);
+    let (outbox, posted) = mpsc::unbounded_channel();
+    let groups = open_groups(&settings, folder.as_ref(), member, &outbox, &journal)?;
+    tokio::spawn(dispatch(net.clone(), posted));
+    let cluster = Arc::new(Cluster::open(groups, net));
+    let router = open_router(&settings, &cluster, run, &journal).await;
+    Ok(Arc::new(Node {
+        settings,
+        journal,
+        cluster,
+        router,
+        folder: Mutex::new(folder),
+        leases: Mutex::new(None),
+        metrics,
+        stop: tokio::sync::Notify::new(),
+    }))
+}
+
+fn open_groups(
+    settings: &Settings,
+    folder: Option<&DataFolder>,
+    member: MemberId,
+    outbox: &mpsc::UnboundedSender<Envelope>,
+    journal: &Arc<Journal>,
+) -> Result<Vec<Group>, Error> {
+    let ledgers = (0..settings.ledger_groups).map(GroupId::Ledger);
+    let mut groups = Vec::new();
+    for id in [GroupId::Control].into_iter().chain(ledgers) {
+        let store = folder.map(|folder| folder.group(&id.to_string())).transpose()?;
+        let state = match id {
+            GroupId::Control => Replicated::Control(ControlState::default()),
+            GroupId::Ledger(_) => Replicated::Ledger(LedgerState::default()),
+        };
+        groups.push(Group::spawn(GroupOptions {
+            id,
+            member,
+            timing: Timing { election: settings.election, heartbeat: settings.heartbeat },
+            store,
+            state,
+            outbox: outbox.clone(),
+            journal: journal.clone(),
+            snapshot_every: SNAPSHOT_EVERY,
+        }));
+    }
+    Ok(groups)
+}
+
+async fn open_router(
+    settings: &Settings,
+    cluster: &Arc<Cluster>,
+    run: u64,
+    journal: &Arc<Journal>,
+) -> Arc<Router> {
+    let connections = Arc::new(Connections::open(settings.connect));
+    let source = settings.vm_list.clone();
+    let vms = VmList::spawn(source, settings.poll, connections.clone(), journal.clone()).await;
+    let loads = LoadTable::spawn(vms.clone(), connections.clone());
+    let name = RouterName { vm: settings.vm.clone(), run };
+    Arc::new(Router {
+        data_centre: settings.data_centre.clone(),
+        lease: RouterLease::default(),
+        ledger: LedgerClient::open(cluster.clone(), name),
+        connections,
+        vms,
+        loads,
+        counters: Counters::open(),
+        journal: journal.clone(),
+        rating: settings.rating,
+        sample: settings.sample,
+        token_gap: settings.token_gap,
+        deadline: settings.deadline,
+        body_limit: settings.body_limit,
+        draining: AtomicBool::new(false),
+        runtime: tokio::runtime::Handle::current(),
+        turn: AtomicUsize::new(0),
+    })
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).map_err(|cause| bind_error(address, cause))
+}
+
+fn bind_error(address: SocketAddr, cause: std::io::Error) -> Error {
+    Error::Bind { address: address.to_string(), cause }
+}
--- /dev/null
+++ b/src/event/kind.rs
@@ -0,0 +1,146 @@
+use crate::name::{
+    DataCentre, OrganisationName, RequestId, RolloutName, ServiceName, SessionName, VersionKey,
+    VmName,
+};
+use serde::{Deserialize, Serialize};
+
+/// Something that happened in a daemon. Numbers are in docs/EVENTS.md and never change meaning.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "name", rename_all = "snake_case")]
+#[allow(missing_docs, reason = "field names speak for themselves; docs/EVENTS.md describes them")]
+pub enum Event {
+    DaemonStarted { data_centre: DataCentre, durable: bool },
+    DaemonStopping,
+    DaemonStopped,
+    ClusterFounded { cluster: String },
+    LeaderElected { group: String, term: u64 },
+    LeaderLost { group: String, term: u64 },
+    MemberAdded { group: String, vm: VmName },
+    MemberPromoted { group: String, vm: VmName },
+    MemberRemoved { group: String, vm: VmName },
+    SnapshotTaken { group: String, index: u64 },
+    LeaseGained { revision: u64 },
+    LeaseLost,
+    RevisionInstalled { revision: u64 },
+    TicketAccepted { ticket: u64, revision: u64 },
+    TicketRefused { ticket: u64, reason: String },
+    TicketInForce { ticket: u64, revision: u64 },
+    RequestAdmitted { request: RequestId, organisation: OrganisationName, kind: String },
+    RequestRefused { request: RequestId, code: String, ran: String },
+    SessionPinned { request: RequestId, session: SessionName, version: VersionKey },
+    VersionChosen { request: RequestId, version: VersionKey, reason: String },
+    ClaimCommitted { request: RequestId, service: ServiceName },
+    ClaimRepeated { request: RequestId, first: RequestId },
+    AttemptStarted { request: RequestId, server: VmName, attempt: u32 },
+    AttemptFailed { request: RequestId, server: VmName, reason: String },
+    AnswerRated { request: RequestId, version: VersionKey, quality: f64 },
+    AnswerBilled { request: RequestId, cost: u64 },
+    AnswerRelayed { request: RequestId, tokens: u64 },
+    CallerLeft { request: RequestId },
+    VersionStopped { version: VersionKey, evidence: String },
+    RolloutStepped { rollout: RolloutName, share: u32 },
+    ServerLeaving { server: VmName },
+    ServerGone { server: VmName },
+    ServerEjected { server: VmName, reason: String },
+    ServerRestored { server: VmName },
+    OrderSent { server: VmName, order: String, fence: u64 },
+    PeerSilent { peer: String },
+    PeerRefused { reason: String },
+}
+
+impl Event {
+    /// The event's number in the catalogue.
+    ///
+    /// ```
+    /// assert_eq!(samphireshift::event::Event::DaemonStopping.number(), 2);
+    /// ```
+    pub fn number(&self) -> u16 {
+        match self {
+            Event::DaemonStarted { .. } => 1,
+            Event::DaemonStopping => 2,
+            Event::DaemonStopped => 3,
+            Event::ClusterFounded { .. } => 10,
+            Event::LeaderElected { .. } => 11,
+            Event::LeaderLost { .. } => 12,
+            Event::MemberAdded { .. } => 13,
+            Event::MemberPromoted { .. } => 14,
+            Event::MemberRemoved { .. } => 15,
+            Event::SnapshotTaken { .. } => 16,
+            Event::LeaseGained { .. } => 20,
+            Event::LeaseLost => 21,
+            Event::RevisionInstalled { .. } => 22,
+            Event::TicketAccepted { .. } => 30,
+            Event::TicketRefused { .. } => 31,
+            Event::TicketInForce { .. } => 32,
+            Event::RequestAdmitted { .. } => 40,
+            Event::RequestRefused { .. } => 41,
+            Event::SessionPinned { .. } => 42,
+            Event::VersionChosen { .. } => 43,
+            Event::ClaimCommitted { .. } => 44,
+            Event::ClaimRepeated { .. } => 45,
+            Event::AttemptStarted { .. } => 46,
+            Event::AttemptFailed { .. } => 47,
+            Event::AnswerRated { .. } => 48,
+            Event::AnswerBilled { .. } => 49,
+            Event::AnswerRelayed { .. } => 50,
+            Event::CallerLeft { .. } => 51,
+            Event::VersionStopped { .. } => 60,
+            Event::RolloutStepped { .. } => 61,
+            Event::ServerLeaving { .. } => 70,
+            Event::ServerGone { .. } => 71,
+            Event::ServerEjected { .. } => 72,
+            Event::ServerRestored { .. } => 73,
+            Event::OrderSent { .. } => 74,
+            Event::PeerSilent { .. } => 80,
+            Event::PeerRefused { .. } => 81,
+        }
+    }
+
+    /// The request that the event belongs to.
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Event::RequestAdmitted { request, .. }
+            | Event::RequestRefused { request, .. }
+            | Event::SessionPinned { request, .. }
+            | Event::VersionChosen { request, .. }
+            | Event::ClaimCommitted { request, .. }
+            | Event::ClaimRepeated { request, .. }
+            | Event::AttemptStarted { request, .. }
+            | Event::AttemptFailed { request, .. }
+            | Event::AnswerRated { request, .. }
+            | Event::AnswerBilled { request, .. }
+            | Event::AnswerRelayed { request, .. }
+            | Event::CallerLeft { request } => Some(*request),
+            _ => None,
+        }
+    }
+
+    /// The ticket that the event belongs to.
+    pub fn ticket(&self) -> Option<u64> {
+        match self {
+            Event::TicketAccepted { ticket, .. }
+            | Event::TicketRefused { ticket, .. }
+            | Event::TicketInForce { ticket, .. } => Some(*ticket),
+            _ => None,
+        }
+    }
+
+    /// The version that the event speaks of.
+    pub fn version(&self) -> Option<&VersionKey> {
+        match self {
+            Event::SessionPinned { version, .. }
+            | Event::VersionChosen { version, .. }
+            | Event::AnswerRated { version, .. }
+            | Event::VersionStopped { version, .. } => Some(version),
+            _ => None,
+        }
+    }
+
+    /// The session that the event speaks of.
+    pub fn session(&self) -> Option<&SessionName> {
+        match self {
+            Event::SessionPinned { session, .. } => Some(session),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/group/driver.rs
@@ -0,0 +1,270 @@
+use super::handle::{Envelope, GroupOptions, GroupStatus, Input, Shared, SubmitError};
+use super::{GroupId, Replicated, since_start};
+use crate::consensus::{Core, Entry, Log, Message, Output, Payload, ProposeError, Role, Snapshot};
+use crate::event::{Event, Journal};
+use crate::storage::{GroupStore, StorageError};
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// How often time is passed to the core.
+const TICK: Duration = Duration::from_millis(10);
+/// Inputs taken into one batch, and so into one sync.
+const BATCH_INPUTS: usize = 1_024;
+
+/// A command that waits to be committed.
+struct Waiting {
+    term: u64,
+    answer: oneshot::Sender<Result<Bytes, SubmitError>>,
+}
+
+/// The group's thread.
+pub struct Driver {
+    id: GroupId,
+    core: Core,
+    store: Option<GroupStore>,
+    inbox: Receiver<Input>,
+    outbox: mpsc::UnboundedSender<Envelope>,
+    shared: Arc<Shared>,
+    journal: Arc<Journal>,
+    waiting: BTreeMap<u64, Waiting>,
+    applied: u64,
+    snapshot_every: u64,
+    led: Option<(u64, Duration)>,
+}
+
+impl Driver {
+    pub fn open(options: GroupOptions, inbox: Receiver<Input>, shared: Arc<Shared>) -> Self {
+        let (store, recovered) = match options.store {
+            Some((store, recovered)) => (Some(store), recovered),
+            None => (None, Default::default()),
+        };
+        let mut applied = 0;
+        if let Some(snapshot) = &recovered.snapshot {
+            restore(&shared, snapshot);
+            applied = snapshot.index;
+        }
+        let log = Log::open(recovered.snapshot, recovered.entries);
+        let seed = rand::random();
+        let (now, hard) = (since_start(), recovered.hard);
+        let core = Core::open(options.member, options.timing, seed, now, hard, log);
+        Self {
+            id: options.id,
+            core,
+            store,
+            inbox,
+            outbox: options.outbox,
+            shared,
+            journal: options.journal,
+            waiting: BTreeMap::new(),
+            applied,
+            snapshot_every: options.snapshot_every,
+            led: None,
+        }
+    }
+
+    pub fn run(mut self) {
+        loop {
+            let first = match self.inbox.recv_timeout(TICK) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut batch: Vec<Input> = first.into_iter().collect();
+            batch.extend(self.inbox.try_iter().take(BATCH_INPUTS));
+            for input in batch {
+                if matches!(input, Input::Stop) {
+                    return;
+                }
+                self.take(input);
+            }
+            self.core.tick(since_start());
+            self.flush();
+            self.compact();
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Message(message) => self.core.step(since_start(), message),
+            Input::Submit(command, answer) => self.submit(command, answer),
+            Input::Change(members, answer) => {
+                // The asker may have given up; the change stands all the same.
+                let _ = answer.send(self.core.change(members).map(|_| ()));
+            }
+            Input::Found(members) if self.core.log().last_index() == 0 => self.core.found(members),
+            Input::Found(_) => {}
+            Input::HandOver => {
+                self.core.hand_over();
+            }
+            Input::Stop => {}
+        }
+    }
+
+    fn submit(&mut self, command: Bytes, answer: oneshot::Sender<Result<Bytes, SubmitError>>) {
+        match self.core.propose(command) {
+            Ok((index, term)) => {
+                self.waiting.insert(index, Waiting { term, answer });
+            }
+            Err(ProposeError::NotLeader | ProposeError::ChangePending)
+            | Err(ProposeError::TooManyChanges) => {
+                let _ = answer.send(Err(SubmitError::NotLeader));
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        loop {
+            let output = self.core.take_output();
+            if output.is_empty() {
+                return;
+            }
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        let writes = output.writes();
+        self.post(output.early);
+        if let Some(hard) = output.hard
+            && let Some(store) = &mut self.store
+        {
+            store.put_hard(hard);
+        }
+        if let Some(snapshot) = &output.install {
+            restore(&self.shared, snapshot);
+            self.applied = snapshot.index;
+            let kept = self.store.as_mut().map(|store| store.compact(snapshot, &[]));
+            check(kept);
+        }
+        if let Some(store) = &mut self.store {
+            store.put_entries(&output.entries);
+            if writes {
+                check(Some(store.sync()));
+            }
+        }
+        if writes {
+            self.core.persisted();
+        }
+        self.post(output.late);
+        for entry in output.committed {
+            self.apply(entry);
+        }
+    }
+
+    fn post(&self, messages: Vec<Message>) {
+        for message in messages {
+            // The receiver is gone only while the daemon stops.
+            let _ = self.outbox.send(Envelope { group: self.id, message });
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        self.applied = entry.index;
+        let outcome = match &entry.payload {
+            Payload::Command(command) => {
+                let mut state = self.shared.state.write().expect("state lock");
+                Some(state.apply(command).expect("committed commands can be read"))
+            }
+            _ => None,
+        };
+        let Some(waiting) = self.waiting.remove(&entry.index) else { return };
+        let answer = match outcome {
+            Some(outcome) if waiting.term == entry.term => Ok(outcome),
+            _ => Err(SubmitError::Lost),
+        };
+        // The asker may have given up.
+        let _ = waiting.answer.send(answer);
+    }
+
+    fn compact(&mut self) {
+        if self.applied < self.core.log().base_index() + self.snapshot_every {
+            return;
+        }
+        let data = self.shared.state.read().expect("state lock").snapshot();
+        let snapshot = self.core.compact(self.applied, data);
+        let last = self.core.log().last_index();
+        let tail = match last > snapshot.index {
+            true => self.core.log().range(snapshot.index + 1, last).to_vec(),
+            false => Vec::new(),
+        };
+        check(self.store.as_mut().map(|store| store.compact(&snapshot, &tail)));
+        let group = self.id.to_string();
+        self.journal.record(Event::SnapshotTaken { group, index: snapshot.index });
+    }
+
+    fn publish(&mut self) {
+        let now = since_start();
+        self.note_leadership(now);
+        let until = match self.core.may_serve(now) && self.applied == self.core.commit() {
+            true => self.core.lease_until().unwrap_or_default(),
+            false => Duration::ZERO,
+        };
+        self.shared.serve_until.store(until.as_micros() as u64, Ordering::Release);
+        let mut status = GroupStatus {
+            term: self.core.term(),
+            leader: self.core.leader(),
+            leading: self.core.is_leader(),
+            since: self.led.map_or(Duration::ZERO, |(_, since)| since),
+            commit: self.core.commit(),
+            last: self.core.log().last_index(),
+            members: self.core.members().clone(),
+            matched: Vec::new(),
+            acked: Vec::new(),
+        };
+        if let Role::Leader { peers, .. } = self.core.role() {
+            status.matched = peers.iter().map(|(id, p)| (*id, p.matched)).collect();
+            let acked = |(id, p): (&_, &crate::consensus::Progress)| p.acked.map(|at| (*id, at));
+            status.acked = peers.iter().filter_map(acked).collect();
+        }
+        *self.shared.status.lock().expect("status lock") = status;
+        self.shared.applied.send_if_modified(|applied| {
+            let changed = *applied != self.applied;
+            *applied = self.applied;
+            changed
+        });
+    }
+
+    fn note_leadership(&mut self, now: Duration) {
+        let group = self.id.to_string();
+        let term = self.core.term();
+        match (self.core.is_leader(), self.led) {
+            (true, Some((led, _))) if led == term => {}
+            (true, _) => {
+                self.led = Some((term, now));
+                self.journal.record(Event::LeaderElected { group, term });
+            }
+            (false, Some((term, _))) => {
+                self.led = None;
+                self.fail_waiting();
+                self.journal.record(Event::LeaderLost { group, term });
+            }
+            (false, None) => {}
+        }
+    }
+
+    fn fail_waiting(&mut self) {
+        for (_, waiting) in std::mem::take(&mut self.waiting) {
+            let _ = waiting.answer.send(Err(SubmitError::Lost));
+        }
+    }
+}
+
+fn restore(shared: &Shared, snapshot: &Snapshot) {
+    let mut state: std::sync::RwLockWriteGuard<'_, Replicated> =
+        shared.state.write().expect("state lock");
+    state.restore(&snapshot.data).expect("a snapshot that passed its checksum can be read");
+}
+
+/// Ends the process on a storage error: what the disk holds is then unknown.
+fn check(result: Option<Result<(), StorageError>>) {
+    if let Some(Err(error)) = result {
+        log::error!("storage failed, the process ends: {error}");
+        std::process::abort();
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,26 @@
+//! Samphireshift: a model-aware router for model versions and cascades.
+//!
+//! The library holds everything that the daemon (`samphireshiftd`) and the command-line tool
+//! (`samphireshift`) share. Folders are layers; each uses only those named before it:
+//! `name`, `settings`, `event`, `storage`, `consensus`, `control`, `ledger`, `policy`, `group`,
+//! `peer`, `backend`, `platform`, `route`, and the two HTTP fronts `caller` and `operator`.
+
+pub mod backend;
+pub mod caller;
+pub mod cli;
+pub mod consensus;
+pub mod control;
+pub mod daemon;
+pub mod error;
+pub mod event;
+pub mod exit_codes;
+pub mod group;
+pub mod ledger;
+pub mod name;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+pub mod policy;
+pub mod route;
+pub mod settings;
+pub mod storage;
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,155 @@
+use crate::control::{Config, Router, Ticket, TicketAnswer, TicketRecord};
+use crate::event::Stamp;
+use crate::group::{GroupId, SubmitError};
+use crate::ledger::{Bill, BillSum};
+use crate::name::{DataCentre, OrganisationName, VmName};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A router asks for its lease.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseAsk {
+    /// The router.
+    pub router: Router,
+    /// The revision that it works under.
+    pub revision: u64,
+    /// Its clock.
+    pub stamp: Stamp,
+}
+
+/// The leader's answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum LeaseAnswer {
+    /// Granted for one lease period, counted by the router from before it asked.
+    Granted {
+        /// The newest configuration, where the router lacks it.
+        config: Option<Arc<Config>>,
+        /// The leader's clock.
+        stamp: Stamp,
+    },
+    /// This daemon does not lead.
+    NotLeader {
+        /// Who does, as far as known.
+        leader: Option<VmName>,
+    },
+}
+
+/// The answer to a forwarded command.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum SubmitAnswer {
+    /// Applied; the serialised outcome.
+    Applied(Bytes),
+    /// Not applied, or not known to be.
+    Failed {
+        /// Why.
+        error: SubmitError,
+        /// Who leads, as far as known.
+        leader: Option<VmName>,
+    },
+}
+
+/// What an operator asks of the leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum OperatorCall {
+    /// Apply a ticket.
+    Ticket {
+        /// The ticket.
+        ticket: Ticket,
+        /// Only say what would happen.
+        dry_run: bool,
+    },
+    /// Wait until a revision is in force.
+    InForce {
+        /// The revision.
+        revision: u64,
+        /// How long to wait, in milliseconds.
+        wait: u64,
+    },
+    /// Accepted tickets, newest first.
+    Tickets {
+        /// At most this many.
+        most: usize,
+    },
+    /// One accepted ticket.
+    ShowTicket(u64),
+    /// The configuration.
+    Config,
+    /// Sums of all bills.
+    BillSums,
+    /// The bills of one organisation.
+    Bills(OrganisationName),
+}
+
+/// The leader's answer to an operator.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum OperatorReply {
+    /// This daemon does not lead.
+    NotLeader {
+        /// Who does, as far as known.
+        leader: Option<VmName>,
+    },
+    /// The outcome of a command is open; ask again.
+    Lost,
+    /// What became of a ticket.
+    Ticket(TicketAnswer),
+    /// Whether the revision is in force, and who may lag.
+    InForce {
+        /// Whether it is.
+        reached: bool,
+        /// Routers that may still work under an older one.
+        lagging: Vec<VmName>,
+    },
+    /// Accepted tickets.
+    Tickets(Vec<(u64, TicketRecord)>),
+    /// One ticket, where it was accepted.
+    ShowTicket(Option<TicketRecord>),
+    /// The configuration.
+    Config(Arc<Config>),
+    /// Sums of all bills.
+    BillSums(Vec<(OrganisationName, BillSum)>),
+    /// Bills.
+    Bills(Vec<Bill>),
+}
+
+/// One group as a daemon sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GroupView {
+    /// Which group.
+    pub group: GroupId,
+    /// The term.
+    pub term: u64,
+    /// The leader, as far as known.
+    pub leader: Option<VmName>,
+    /// Whether this daemon leads it.
+    pub leading: bool,
+    /// The last committed index.
+    pub commit: u64,
+    /// Voters.
+    pub voters: Vec<VmName>,
+    /// Learners.
+    pub learners: Vec<VmName>,
+}
+
+/// What a daemon says of itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Its VM.
+    pub vm: VmName,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Whether it has a data folder.
+    pub durable: bool,
+    /// Its cluster, once known.
+    pub cluster: Option<String>,
+    /// The revision that it works under.
+    pub revision: u64,
+    /// What is left of its lease, in milliseconds; 0 without one.
+    pub lease: u64,
+    /// Requests being served.
+    pub requests: u64,
+    /// Whether it is stopping.
+    pub draining: bool,
+    /// Its groups.
+    pub groups: Vec<GroupView>,
+}
--- /dev/null
+++ b/src/platform/vm.rs
@@ -0,0 +1,28 @@
+use crate::name::{DataCentre, PoolName, VmName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Whether a VM may be given work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// In use.
+    Live,
+    /// About to vanish.
+    Leaving,
+}
+
+/// One VM as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its name.
+    pub vm: VmName,
+    /// Where its backend server listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// The pool that it serves.
+    pub pool: PoolName,
+    /// Whether it may be given work.
+    pub state: VmState,
+}
--- /dev/null
+++ b/src/route/attempt.rs
@@ -0,0 +1,157 @@
+use super::counters::CountedCall;
+use super::refusal::refuse;
+use super::{Refusal, RefusalCode, Router, Unsent};
+use crate::backend::{EngineCall, SendError};
+use crate::control::VersionState;
+use crate::event::Event;
+use crate::name::{OrganisationName, VersionKey, VmName};
+use http::Response;
+use hyper::body::Incoming;
+use std::time::Instant;
+
+/// The header that carries a request's identity back.
+const REQUEST_HEADER: &str = "x-request-id";
+/// Attempts of one request, the first included.
+const ATTEMPTS: u32 = 4;
+
+/// An answer whose head has come.
+pub(super) struct Opened {
+    pub response: Response<Incoming>,
+    pub server: VmName,
+    pub call: CountedCall,
+}
+
+/// The attempts of one request, all on the same version.
+pub(super) struct Attempts {
+    pub organisation: OrganisationName,
+    pub deadline: Instant,
+    pub tried: Vec<VmName>,
+    pub count: u32,
+}
+
+impl Attempts {
+    pub fn new(organisation: OrganisationName, deadline: Instant) -> Self {
+        Self { organisation, deadline, tried: Vec::new(), count: 0 }
+    }
+
+    /// Tries servers until one answers with a head of status 200. `unsent` is the proof that no
+    /// earlier attempt left; it is gone after the first that did.
+    pub async fn open(
+        &mut self,
+        router: &Router,
+        call: &EngineCall,
+        unsent: &mut Option<Unsent>,
+    ) -> Result<Opened, Refusal> {
+        loop {
+            if self.count >= ATTEMPTS || Instant::now() >= self.deadline {
+                return Err(self.give_up(unsent.as_ref()));
+            }
+            let pool = self.admit(router, &call.version, unsent.as_ref())?;
+            let Some(vm) = router.pick(&pool, Some(&call.version), &self.tried) else {
+                return Err(no_server(unsent.as_ref()));
+            };
+            self.count += 1;
+            self.tried.push(vm.vm.clone());
+            let (request, server, attempt) = (call.request, vm.vm.clone(), self.count);
+            router.journal.record(Event::AttemptStarted { request, server, attempt });
+            let reason = match self.exchange(router, call, &vm, unsent).await {
+                Ok(opened) => return Ok(opened),
+                Err(Failed::Final(refusal)) => return Err(refusal),
+                Err(Failed::Again(reason)) => reason,
+            };
+            let server = vm.vm.clone();
+            router.journal.record(Event::AttemptFailed { request, server, reason });
+        }
+    }
+
+    async fn exchange(
+        &self,
+        router: &Router,
+        call: &EngineCall,
+        vm: &crate::platform::Vm,
+        unsent: &mut Option<Unsent>,
+    ) -> Result<Opened, Failed> {
+        let counted = router.counters.call(&vm.vm);
+        let again = |error: SendError| Failed::Again(error.to_string());
+        let mut lent = router.connections.take(vm.address, false).await.map_err(again)?;
+        // The last step before the first byte: the lease and the version's state may have changed
+        // while the connection was opened.
+        self.admit(router, &call.version, unsent.as_ref()).map_err(Failed::Final)?;
+        let proof = unsent.take();
+        let sent = tokio::time::timeout_at(self.deadline.into(), lent.send(call.to_http())).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendError::NotSent(reason))) => {
+                *unsent = proof;
+                return Err(Failed::Again(reason));
+            }
+            Ok(Err(SendError::MaybeSent(reason))) => return Err(Failed::Again(reason)),
+            Err(_) => {
+                let text = "the deadline passed before the backend server answered";
+                return Err(Failed::Final(Refusal::unknown(RefusalCode::DeadlinePassed, text)));
+            }
+        };
+        check_head(call, &response)?;
+        Ok(Opened { response, server: vm.vm.clone(), call: counted })
+    }
+
+    /// Whether the version may be given work now; its pool.
+    fn admit(
+        &self,
+        router: &Router,
+        version: &VersionKey,
+        unsent: Option<&Unsent>,
+    ) -> Result<crate::name::PoolName, Refusal> {
+        let Some(config) = router.lease.config() else {
+            let text = "this daemon is cut off from its cluster; another one can serve the request";
+            return Err(refuse(RefusalCode::NoLease, text, unsent));
+        };
+        let allowed = config.organisations.get(&self.organisation);
+        if !allowed.is_some_and(|organisation| organisation.allows(version)) {
+            let text = format!("this organisation may not use '{version}'");
+            return Err(refuse(RefusalCode::NotAllowed, text, unsent));
+        }
+        match config.versions.get(version) {
+            Some(found) if found.state != VersionState::Withdrawn => Ok(found.pool.clone()),
+            _ => {
+                let text = format!("version '{version}' was withdrawn; begin a new session");
+                Err(refuse(RefusalCode::VersionWithdrawn, text, unsent))
+            }
+        }
+    }
+
+    fn give_up(&self, unsent: Option<&Unsent>) -> Refusal {
+        let late = Instant::now() >= self.deadline;
+        let (code, text) = match late {
+            true => (RefusalCode::DeadlinePassed, "the deadline passed"),
+            false => (RefusalCode::BackendFailed, "every backend server that was tried failed"),
+        };
+        refuse(code, text, unsent)
+    }
+}
+
+enum Failed {
+    Again(String),
+    Final(Refusal),
+}
+
+fn no_server(unsent: Option<&Unsent>) -> Refusal {
+    let text = "no backend server can take the request now";
+    refuse(RefusalCode::NoServer, text, unsent)
+}
+
+fn check_head(call: &EngineCall, response: &Response<Incoming>) -> Result<(), Failed> {
+    let echoed = response.headers().get(REQUEST_HEADER).and_then(|value| value.to_str().ok());
+    if echoed.is_some_and(|id| id != call.request.to_string()) {
+        return Err(Failed::Again("the answer belongs to another request".to_owned()));
+    }
+    let status = response.status();
+    if status.is_success() {
+        return Ok(());
+    }
+    if status.is_client_error() && status.as_u16() != 429 {
+        let text = format!("the engine refused the request with status {status}");
+        return Err(Failed::Final(Refusal::unknown(RefusalCode::BackendRefused, text)));
+    }
+    Err(Failed::Again(format!("status {status}")))
+}
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,23 @@
+//! The life of one request: admit, pin, claim, attempt, relay, bill, answer.
+
+mod answer;
+mod attempt;
+mod chat;
+mod counters;
+mod lease;
+mod ledger_client;
+mod refusal;
+mod relay;
+mod request;
+mod router;
+mod service_call;
+mod unsent;
+
+pub use answer::{Answer, StreamItem, Whole};
+pub use counters::Counters;
+pub use lease::RouterLease;
+pub use ledger_client::LedgerClient;
+pub use refusal::{Ran, Refusal, RefusalCode};
+pub use request::{ChatRequest, Meta, ServiceRequest};
+pub use router::Router;
+pub use unsent::Unsent;
--- /dev/null
+++ b/src/route/service_call.rs
@@ -0,0 +1,344 @@
+use super::refusal::refuse;
+use super::request::{Meta, ServiceRequest};
+use super::{Answer, Refusal, RefusalCode, Router, Unsent, Whole};
+use crate::backend::SendError;
+use crate::control::{Repeat, Service};
+use crate::event::Event;
+use crate::ledger::{Bill, Claim, ClaimState, StoredAnswer};
+use crate::name::IdempotencyKey;
+use crate::platform::Vm;
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The largest answer of a plain service, in bytes.
+const ANSWER_BYTES: usize = 1 << 20;
+/// Attempts of a call that may be repeated.
+const ATTEMPTS: usize = 3;
+/// How often a repeated call looks for the first one's outcome.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// How long recording an outcome may take behind the request's deadline.
+const SETTLE_GRACE: Duration = Duration::from_secs(10);
+
+/// How one attempt ended without an answer.
+enum Missed {
+    /// No byte of this attempt left.
+    NotSent,
+    /// It may have run.
+    MaybeRan,
+}
+
+impl Router {
+    /// Serves a call of a plain service.
+    pub async fn call_service(self: &Arc<Self>, request: ServiceRequest, unsent: Unsent) -> Answer {
+        let _counted = self.counters.enter();
+        let id = request.meta.request;
+        self.journal.record(Event::RequestAdmitted {
+            request: id,
+            organisation: request.meta.organisation.clone(),
+            kind: request.service.to_string(),
+        });
+        let served = self.serve_call(&request, unsent).await;
+        served.unwrap_or_else(|refusal| self.refuse(id, refusal))
+    }
+
+    async fn serve_call(
+        self: &Arc<Self>,
+        request: &ServiceRequest,
+        unsent: Unsent,
+    ) -> Result<Answer, Refusal> {
+        let service = self.find_service(request, &unsent)?;
+        if service.repeat != Repeat::Never || request.method.is_safe() {
+            let answer = self.call_freely(request, &service, unsent).await?;
+            self.bill_call(&request.meta, &service).await?;
+            return Ok(Answer::Whole(answer));
+        }
+        let Some(key) = request.meta.key.clone() else {
+            let text =
+                "calls of this service may not be repeated; give an 'Idempotency-Key' header";
+            return Err(Refusal::not_run(RefusalCode::BadRequest, text, &unsent));
+        };
+        // The work goes on if the caller leaves, so that the claim always gets its outcome.
+        let (router, request) = (self.clone(), request.clone());
+        let work = self
+            .runtime
+            .spawn(async move { router.call_once(request, service, key, unsent).await });
+        let lost = "the call was interrupted inside the router";
+        work.await.unwrap_or_else(|_| Err(Refusal::unknown(RefusalCode::OutcomeUnknown, lost)))
+    }
+
+    fn find_service(&self, request: &ServiceRequest, unsent: &Unsent) -> Result<Service, Refusal> {
+        let config = self.config(unsent)?;
+        let organisation = config.organisations.get(&request.meta.organisation);
+        let allowed = organisation.is_some_and(|o| o.services.contains(&request.service));
+        match (config.services.get(&request.service), allowed) {
+            (Some(service), true) => Ok(service.clone()),
+            (Some(_), false) => {
+                let text = format!("this organisation may not use service '{}'", request.service);
+                Err(Refusal::not_run(RefusalCode::NotAllowed, text, unsent))
+            }
+            (None, _) => {
+                let text = format!("there is no service '{}'", request.service);
+                Err(Refusal::not_run(RefusalCode::UnknownService, text, unsent))
+            }
+        }
+    }
+
+    async fn call_freely(
+        &self,
+        request: &ServiceRequest,
+        service: &Service,
+        unsent: Unsent,
+    ) -> Result<Whole, Refusal> {
+        let mut proof = Some(unsent);
+        let mut tried = Vec::new();
+        for _ in 0..ATTEMPTS {
+            let Some(vm) = self.pick(&service.pool, None, &tried) else { break };
+            tried.push(vm.vm.clone());
+            match self.attempt_call(request, &vm, &mut proof, false).await {
+                Ok(answer) => return Ok(answer),
+                Err(Missed::NotSent | Missed::MaybeRan) => continue,
+            }
+        }
+        let text = "no backend server of this service answered";
+        let code = match proof {
+            Some(_) => RefusalCode::NoServer,
+            None => RefusalCode::BackendFailed,
+        };
+        Err(refuse(code, text, proof.as_ref()))
+    }
+
+    /// Runs a call that may not be repeated: claimed first, sent at most once.
+    async fn call_once(
+        self: Arc<Self>,
+        request: ServiceRequest,
+        service: Service,
+        key: IdempotencyKey,
+        unsent: Unsent,
+    ) -> Result<Answer, Refusal> {
+        let (meta, digest) = (&request.meta, digest_of(&request));
+        let claim = self.claim(meta, &key, digest, &unsent).await?;
+        if claim.digest != digest {
+            let text = "this idempotency key was used for another call; use a new key";
+            return Err(Refusal::not_run(RefusalCode::KeyReused, text, &unsent));
+        }
+        if claim.request != meta.request {
+            let (request, first) = (meta.request, claim.request);
+            self.journal.record(Event::ClaimRepeated { request, first });
+            return self.await_first(meta, &key, claim, &unsent).await;
+        }
+        let (id, name) = (meta.request, service.name.clone());
+        self.journal.record(Event::ClaimCommitted { request: id, service: name });
+        self.run_claimed(&request, &service, &key, unsent).await
+    }
+
+    async fn claim(
+        &self,
+        meta: &Meta,
+        key: &IdempotencyKey,
+        digest: [u8; 32],
+        unsent: &Unsent,
+    ) -> Result<Claim, Refusal> {
+        let done =
+            self.ledger.claim(&meta.organisation, key, meta.request, digest, meta.deadline).await;
+        done.map_err(|_| {
+            let text = "the claim could not be committed; ask again with the same key";
+            Refusal::not_run(RefusalCode::NoLedger, text, unsent)
+        })
+    }
+
+    async fn run_claimed(
+        &self,
+        request: &ServiceRequest,
+        service: &Service,
+        key: &IdempotencyKey,
+        unsent: Unsent,
+    ) -> Result<Answer, Refusal> {
+        let mut proof = Some(unsent);
+        let mut tried = Vec::new();
+        let meta = &request.meta;
+        // The proof is gone as soon as an attempt may have run, and with it the loop.
+        while let Some(unsent) = &proof {
+            let picked = match self.find_service(request, unsent) {
+                Ok(service) => self.pick(&service.pool, None, &tried),
+                Err(refusal) => return self.release(meta, key, refusal).await,
+            };
+            let Some(vm) = picked else {
+                let text = "no backend server of this service can take the call";
+                let refusal = Refusal::not_run(RefusalCode::NoServer, text, unsent);
+                return self.release(meta, key, refusal).await;
+            };
+            tried.push(vm.vm.clone());
+            if let Ok(answer) = self.attempt_call(request, &vm, &mut proof, true).await {
+                return self.settle(meta, key, service, answer).await;
+            }
+        }
+        self.settle_unknown(meta, key).await
+    }
+
+    async fn release(
+        &self,
+        meta: &Meta,
+        key: &IdempotencyKey,
+        refusal: Refusal,
+    ) -> Result<Answer, Refusal> {
+        let deadline = Instant::now() + SETTLE_GRACE;
+        let released = self.ledger.release(&meta.organisation, key, meta.request, deadline).await;
+        if released.is_err() {
+            log::warn!("request {}: its claim could not be given up", meta.request);
+        }
+        Err(refusal)
+    }
+
+    async fn settle(
+        &self,
+        meta: &Meta,
+        key: &IdempotencyKey,
+        service: &Service,
+        answer: Whole,
+    ) -> Result<Answer, Refusal> {
+        let stored = StoredAnswer {
+            status: answer.status,
+            media: answer.media.clone(),
+            body: answer.body.clone(),
+        };
+        let bill = bill_of(meta, service);
+        let cost = bill.cost;
+        let deadline = Instant::now() + SETTLE_GRACE;
+        let outcome = Some((stored, bill));
+        let done = self.ledger.settle(&meta.organisation, key, meta.request, outcome, deadline);
+        if done.await.is_err() {
+            let text =
+                "the call ran, but its outcome could not be recorded; ask again with the same key";
+            return Err(Refusal::unknown(RefusalCode::NoLedger, text));
+        }
+        self.journal.record(Event::AnswerBilled { request: meta.request, cost });
+        Ok(Answer::Whole(answer))
+    }
+
+    async fn settle_unknown(&self, meta: &Meta, key: &IdempotencyKey) -> Result<Answer, Refusal> {
+        let deadline = Instant::now() + SETTLE_GRACE;
+        let done = self.ledger.settle(&meta.organisation, key, meta.request, None, deadline);
+        if done.await.is_err() {
+            log::warn!("request {}: its open outcome could not be recorded", meta.request);
+        }
+        Err(open_outcome())
+    }
+
+    /// Waits for the outcome of the call that came first.
+    async fn await_first(
+        &self,
+        meta: &Meta,
+        key: &IdempotencyKey,
+        claim: Claim,
+        unsent: &Unsent,
+    ) -> Result<Answer, Refusal> {
+        let mut claim = claim;
+        loop {
+            match claim.state {
+                ClaimState::Answered(stored) => {
+                    let StoredAnswer { status, media, body } = stored;
+                    return Ok(Answer::Whole(Whole { status, media, body }));
+                }
+                ClaimState::Unknown => return Err(open_outcome()),
+                ClaimState::Running if Instant::now() >= meta.deadline => {
+                    return Err(open_outcome());
+                }
+                ClaimState::Running => tokio::time::sleep(LOOK_EVERY).await,
+            }
+            claim =
+                self.claim(meta, key, claim.digest, unsent).await.map_err(|_| open_outcome())?;
+        }
+    }
+
+    async fn attempt_call(
+        &self,
+        request: &ServiceRequest,
+        vm: &Vm,
+        proof: &mut Option<Unsent>,
+        fresh: bool,
+    ) -> Result<Whole, Missed> {
+        let (id, server) = (request.meta.request, vm.vm.clone());
+        self.journal.record(Event::AttemptStarted { request: id, server, attempt: 1 });
+        let _counted = self.counters.call(&vm.vm);
+        let Ok(mut lent) = self.connections.take(vm.address, fresh).await else {
+            return Err(Missed::NotSent);
+        };
+        let ready = self.lease.config().is_some() && self.vms.may_use(&vm.vm);
+        if !ready {
+            return Err(Missed::NotSent);
+        }
+        let token = proof.take();
+        let work = async {
+            let response = lent.send(to_http(request)).await?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, ANSWER_BYTES).collect().await;
+            let body = body.map_err(|e| SendError::MaybeSent(e.to_string()))?.to_bytes();
+            let media = head.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
+            let media = media.unwrap_or("application/octet-stream").to_owned();
+            Ok(Whole { status: head.status.as_u16(), media, body })
+        };
+        match tokio::time::timeout_at(request.meta.deadline.into(), work).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(SendError::NotSent(_))) => {
+                *proof = token;
+                Err(Missed::NotSent)
+            }
+            Ok(Err(SendError::MaybeSent(reason))) => {
+                let server = vm.vm.clone();
+                self.journal.record(Event::AttemptFailed { request: id, server, reason });
+                Err(Missed::MaybeRan)
+            }
+            Err(_) => Err(Missed::MaybeRan),
+        }
+    }
+
+    async fn bill_call(&self, meta: &Meta, service: &Service) -> Result<(), Refusal> {
+        let bill = bill_of(meta, service);
+        let cost = bill.cost;
+        let deadline = Instant::now() + SETTLE_GRACE;
+        let done = self.ledger.bill(&meta.organisation, meta.session.as_ref(), bill, deadline);
+        if done.await.is_err() {
+            let text = "the answer could not be billed and is withheld";
+            return Err(Refusal::unknown(RefusalCode::NoLedger, text));
+        }
+        self.journal.record(Event::AnswerBilled { request: meta.request, cost });
+        Ok(())
+    }
+}
+
+fn open_outcome() -> Refusal {
+    let text =
+        "the call may or may not have run and will not be sent again; check with the service";
+    Refusal::unknown(RefusalCode::OutcomeUnknown, text)
+}
+
+fn bill_of(meta: &Meta, service: &Service) -> Bill {
+    let item = format!("service {}", service.name);
+    Bill { request: meta.request, item, prompt: 0, answer: 0, cost: service.price }
+}
+
+fn digest_of(request: &ServiceRequest) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    for part in [request.method.as_str(), request.service.as_str(), &request.path] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
+    }
+    hash.update(&request.body);
+    hash.finalize().into()
+}
+
+fn to_http(request: &ServiceRequest) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method(request.method.clone())
+        .uri(request.path.as_str())
+        .header(header::CONTENT_TYPE, request.media.as_str())
+        .header("x-request-id", request.meta.request.to_string());
+    if let Some(key) = &request.meta.key {
+        builder = builder.header("idempotency-key", key.as_str());
+    }
+    builder.body(Full::new(request.body.clone())).expect("checked when the request was read")
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,131 @@
+//! The daemon's settings: an INI file read once at start and checked as a whole.
+
+mod issue;
+mod reader;
+mod unit;
+
+pub use issue::{SettingsErrors, SettingsIssue};
+pub use unit::{parse_duration, parse_size};
+
+use crate::error::Error;
+use crate::name::{DataCentre, VmName};
+use reader::Reader;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Where the list of VMs is read from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum VmListSource {
+    /// An HTTP server's address, queried at `/vms`.
+    Http(SocketAddr),
+    /// A JSON file.
+    File(PathBuf),
+}
+
+/// Everything that one daemon is told at start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This VM's name.
+    pub vm: VmName,
+    /// The data centre that this VM stands in.
+    pub data_centre: DataCentre,
+    /// Where durable state is kept; a daemon without one is diskless.
+    pub data_folder: Option<PathBuf>,
+    /// The port that callers use.
+    pub callers: SocketAddr,
+    /// The port that operators use.
+    pub operators: SocketAddr,
+    /// The port that other daemons use.
+    pub peers: SocketAddr,
+    /// The secret that all daemons of the cluster share.
+    pub secret: String,
+    /// Peer addresses of the other daemons.
+    pub peer_list: Vec<SocketAddr>,
+    /// The number of voters to aim for.
+    pub voters: usize,
+    /// The number of ledger groups, fixed at founding.
+    pub ledger_groups: u16,
+    /// The token that operators must show.
+    pub token: String,
+    /// How long a router may work after asking for its lease.
+    pub lease: Duration,
+    /// How often a router renews its lease.
+    pub renew: Duration,
+    /// The shortest time without a leader's message before an election.
+    pub election: Duration,
+    /// How often a leader sends to idle followers.
+    pub heartbeat: Duration,
+    /// How long a voter may be silent before a spare takes its place.
+    pub replace_after: Duration,
+    /// Where the VM list comes from.
+    pub vm_list: VmListSource,
+    /// How often the VM list is read.
+    pub poll: Duration,
+    /// The rating service, where there is one.
+    pub rating: Option<SocketAddr>,
+    /// The share of answers that are rated, in thousandths.
+    pub sample: u64,
+    /// The largest request body, in bytes.
+    pub body_limit: usize,
+    /// The deadline of a request that names none.
+    pub deadline: Duration,
+    /// The longest silence between two tokens of a stream.
+    pub token_gap: Duration,
+    /// The longest wait for a connection to a backend server.
+    pub connect: Duration,
+    /// How long a stopping daemon goes on serving so that the balancer can look away.
+    pub drain: Duration,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// [`Error::File`] where the file cannot be read, [`Error::Settings`] with every fault at once.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|cause| Error::File { path: path.to_path_buf(), cause })?;
+        let settings = Self::parse(&path.display().to_string(), &text)?;
+        Ok(settings)
+    }
+
+    /// Checks settings given as text; `file` is used in messages only.
+    ///
+    /// # Errors
+    /// All faults at once, each naming file, section, key and what is allowed.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsErrors> {
+        let mut r = Reader::open(file, text)?;
+        let settings = Self {
+            vm: VmName::new(r.name("vm", "name")),
+            data_centre: DataCentre::new(r.name("vm", "data_centre")),
+            data_folder: r.optional("vm", "data_folder").map(PathBuf::from),
+            callers: r.address("listen", "callers"),
+            operators: r.address("listen", "operators"),
+            peers: r.address("listen", "peers"),
+            secret: r.secret("cluster", "secret"),
+            peer_list: r.addresses("cluster", "peers"),
+            voters: r.number("cluster", "voters", 3, 1, 9) as usize,
+            ledger_groups: r.number("cluster", "ledger_groups", 1, 1, 64) as u16,
+            token: r.secret("operators", "token"),
+            lease: r.duration("lease", "duration", "2500ms", "500ms", "3s"),
+            renew: r.duration("lease", "renew", "250ms", "20ms", "1s"),
+            election: r.duration("consensus", "election", "600ms", "100ms", "10s"),
+            heartbeat: r.duration("consensus", "heartbeat", "100ms", "10ms", "2s"),
+            replace_after: r.duration("consensus", "replace_after", "10s", "1s", "1h"),
+            vm_list: r.vm_list("platform", "vm_list"),
+            poll: r.duration("platform", "poll", "500ms", "50ms", "1m"),
+            rating: r.optional_address("rating", "address"),
+            sample: r.number("rating", "sample", 200, 0, 1000),
+            body_limit: r.size("limits", "body", "1MiB", "1KiB", "64MiB"),
+            deadline: r.duration("limits", "deadline", "60s", "100ms", "1h"),
+            token_gap: r.duration("limits", "token_gap", "5s", "50ms", "5m"),
+            connect: r.duration("limits", "connect", "500ms", "10ms", "30s"),
+            drain: r.duration("limits", "drain", "2s", "0ms", "5m"),
+        };
+        r.check_ports(&[settings.callers, settings.operators, settings.peers]);
+        r.check_folder(settings.data_folder.as_deref());
+        r.check_lease(settings.lease, settings.renew);
+        r.finish(settings)
+    }
+}
--- /dev/null
+++ b/src/settings/reader.rs
@@ -0,0 +1,233 @@
+use super::issue::{SettingsErrors, SettingsIssue};
+use super::unit::{parse_duration, parse_size};
+use super::{Settings, VmListSource};
+use ini::Ini;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const NAME_LIMIT: usize = 64;
+const SECRET_MIN: usize = 8;
+/// A lease must outlast this many renewals, so that one lost message costs nothing.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// Reads typed values and gathers every fault instead of stopping at the first.
+pub struct Reader {
+    file: String,
+    ini: Ini,
+    known: BTreeSet<(String, String)>,
+    issues: Vec<SettingsIssue>,
+}
+
+impl Reader {
+    pub fn open(file: &str, text: &str) -> Result<Self, SettingsErrors> {
+        let parsed = Ini::load_from_str(text);
+        let ini = parsed.map_err(|cause| {
+            let text = format!("not an INI file: {cause}");
+            let issue = issue(file, "", "", &text);
+            SettingsErrors(vec![issue])
+        })?;
+        Ok(Self { file: file.to_owned(), ini, known: BTreeSet::new(), issues: Vec::new() })
+    }
+
+    fn fault(&mut self, section: &str, key: &str, text: &str) {
+        let issue = issue(&self.file, section, key, text);
+        self.issues.push(issue);
+    }
+
+    pub fn optional(&mut self, section: &str, key: &str) -> Option<String> {
+        self.known.insert((section.to_owned(), key.to_owned()));
+        let value = self.ini.get_from(Some(section), key)?;
+        Some(value.trim().to_owned())
+    }
+
+    fn required(&mut self, section: &str, key: &str, allowed: &str) -> Option<String> {
+        let value = self.optional(section, key);
+        if value.is_none() {
+            self.fault(section, key, &format!("missing; give {allowed}"));
+        }
+        value
+    }
+
+    pub fn name(&mut self, section: &str, key: &str) -> String {
+        let allowed = "1 to 64 letters, digits, '-', '_' or '.'";
+        let Some(value) = self.required(section, key, allowed) else { return String::new() };
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if value.is_empty() || value.len() > NAME_LIMIT || !value.chars().all(plain) {
+            self.fault(section, key, &format!("'{value}' is not a name; allowed: {allowed}"));
+        }
+        value
+    }
+
+    pub fn secret(&mut self, section: &str, key: &str) -> String {
+        let allowed = "at least 8 characters";
+        let Some(value) = self.required(section, key, allowed) else { return String::new() };
+        if value.len() < SECRET_MIN {
+            self.fault(section, key, &format!("too short; allowed: {allowed}"));
+        }
+        value
+    }
+
+    pub fn address(&mut self, section: &str, key: &str) -> SocketAddr {
+        let none = SocketAddr::from(([0, 0, 0, 0], 0));
+        let allowed = "an IP address and port, such as 10.0.0.5:8080";
+        let Some(value) = self.required(section, key, allowed) else { return none };
+        self.parse_address(section, key, &value).unwrap_or(none)
+    }
+
+    pub fn optional_address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
+        let value = self.optional(section, key)?;
+        self.parse_address(section, key, &value)
+    }
+
+    fn parse_address(&mut self, section: &str, key: &str, value: &str) -> Option<SocketAddr> {
+        let parsed = value.parse().ok();
+        if parsed.is_none() {
+            let text = format!(
+                "'{value}' is not an address; allowed: an IP address and port, such as 10.0.0.5:8080"
+            );
+            self.fault(section, key, &text);
+        }
+        parsed
+    }
+
+    pub fn addresses(&mut self, section: &str, key: &str) -> Vec<SocketAddr> {
+        let Some(value) = self.optional(section, key) else { return Vec::new() };
+        let parts = value.split(',').map(str::trim).filter(|part| !part.is_empty());
+        parts.filter_map(|part| self.parse_address(section, key, part)).collect()
+    }
+
+    pub fn number(&mut self, section: &str, key: &str, default: u64, low: u64, high: u64) -> u64 {
+        let Some(value) = self.optional(section, key) else { return default };
+        match value.parse::<u64>() {
+            Ok(n) if (low..=high).contains(&n) => n,
+            _ => {
+                let text = format!("'{value}' is not allowed; give a number from {low} to {high}");
+                self.fault(section, key, &text);
+                default
+            }
+        }
+    }
+
+    pub fn duration(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: &str,
+        low: &str,
+        high: &str,
+    ) -> Duration {
+        let value = self.optional(section, key).unwrap_or_else(|| default.to_owned());
+        let range = (parse_duration(low), parse_duration(high));
+        let parsed = parse_duration(&value);
+        if parsed.is_some() && range.0 <= parsed && parsed <= range.1 {
+            return parsed.unwrap_or_default();
+        }
+        let text =
+            format!("'{value}' is not allowed; give a time from {low} to {high} in ms, s, m or h");
+        self.fault(section, key, &text);
+        parse_duration(default).unwrap_or_default()
+    }
+
+    pub fn size(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: &str,
+        low: &str,
+        high: &str,
+    ) -> usize {
+        let value = self.optional(section, key).unwrap_or_else(|| default.to_owned());
+        let range = (parse_size(low), parse_size(high));
+        let parsed = parse_size(&value);
+        if parsed.is_some() && range.0 <= parsed && parsed <= range.1 {
+            return parsed.unwrap_or_default();
+        }
+        let text =
+            format!("'{value}' is not allowed; give a size from {low} to {high} in B, KiB or MiB");
+        self.fault(section, key, &text);
+        parse_size(default).unwrap_or_default()
+    }
+
+    pub fn vm_list(&mut self, section: &str, key: &str) -> VmListSource {
+        let allowed = "an address to query (http://10.0.0.9:7000) or a file's path";
+        let Some(value) = self.required(section, key, allowed) else {
+            return VmListSource::File(PathBuf::new());
+        };
+        let Some(rest) = value.strip_prefix("http://") else {
+            return VmListSource::File(PathBuf::from(value));
+        };
+        match self.parse_address(section, key, rest) {
+            Some(address) => VmListSource::Http(address),
+            None => VmListSource::File(PathBuf::new()),
+        }
+    }
+
+    pub fn check_ports(&mut self, ports: &[SocketAddr]) {
+        let names = ["callers", "operators", "peers"];
+        for (i, a) in ports.iter().enumerate() {
+            for (b, name) in ports.iter().zip(names).skip(i + 1) {
+                if a == b && a.port() != 0 {
+                    let text = format!("{b} is also the port of '{}'; give another", names[i]);
+                    self.fault("listen", name, &text);
+                }
+            }
+        }
+    }
+
+    pub fn check_folder(&mut self, folder: Option<&Path>) {
+        let Some(folder) = folder else { return };
+        let probe = folder.join(".write-probe");
+        let tried = std::fs::create_dir_all(folder).and_then(|()| std::fs::write(&probe, b""));
+        if let Err(cause) = tried {
+            let text = format!("{} cannot be written: {cause}", folder.display());
+            self.fault("vm", "data_folder", &text);
+            return;
+        }
+        if let Err(cause) = std::fs::remove_file(&probe) {
+            self.fault("vm", "data_folder", &format!("cannot remove a probe file: {cause}"));
+        }
+    }
+
+    pub fn check_lease(&mut self, lease: Duration, renew: Duration) {
+        if lease >= renew * RENEWALS_PER_LEASE {
+            return;
+        }
+        let text = format!("must be at least {RENEWALS_PER_LEASE} times 'renew'");
+        self.fault("lease", "duration", &text);
+    }
+
+    pub fn finish(mut self, settings: Settings) -> Result<Settings, SettingsErrors> {
+        self.check_unknown();
+        match self.issues.is_empty() {
+            true => Ok(settings),
+            false => Err(SettingsErrors(self.issues)),
+        }
+    }
+
+    fn check_unknown(&mut self) {
+        let mut found = Vec::new();
+        for (section, keys) in self.ini.iter() {
+            let section = section.unwrap_or("");
+            found.extend(keys.iter().map(|(key, _)| (section.to_owned(), key.to_owned())));
+        }
+        for (section, key) in found {
+            if self.known.contains(&(section.clone(), key.clone())) {
+                continue;
+            }
+            let same = self.known.iter().filter(|(s, _)| *s == section);
+            let keys: Vec<String> = same.map(|(_, k)| k.clone()).collect();
+            let text = match keys.is_empty() {
+                true => "unknown section".to_owned(),
+                false => format!("unknown key; allowed: {}", keys.join(", ")),
+            };
+            self.fault(&section, &key, &text);
+        }
+    }
+}
+
+fn issue(file: &str, section: &str, key: &str, text: &str) -> SettingsIssue {
+    let text = text.to_owned();
+    SettingsIssue { file: file.to_owned(), section: section.to_owned(), key: key.to_owned(), text }
+}
--- /dev/null
+++ b/tests/env/fleet.rs
@@ -0,0 +1,309 @@
+//! Daemons and fakes that belong together.
+
+use super::http::{Reply, call};
+use super::process::{Process, programs};
+use serde_json::{Value, json};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+const TOKEN: &str = "operator-token";
+const READY_LIMIT: Duration = Duration::from_secs(20);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// What a fleet is made of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// For each daemon, whether it has a data folder.
+    pub disks: Vec<bool>,
+    /// Arguments of each engine of the cheap model.
+    pub cheap: Vec<Vec<&'static str>>,
+    /// Arguments of each engine of the better model.
+    pub better: Vec<Vec<&'static str>>,
+    /// Extra settings, such as `("lease", "duration", "1s")`.
+    pub settings: Vec<(&'static str, &'static str, &'static str)>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            disks: vec![true, true, false],
+            cheap: vec![vec!["--versions=cheap/v1,cheap/v2"]],
+            better: vec![vec!["--versions=better/v1,better/v2"]],
+            settings: vec![("limits", "drain", "200ms"), ("rating", "sample", "1000")],
+        }
+    }
+}
+
+/// A daemon's process and its ports.
+#[derive(Debug)]
+pub struct Daemon {
+    pub name: String,
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+    pub settings: PathBuf,
+    pub folder: Option<PathBuf>,
+}
+
+/// A backend server's process.
+#[derive(Debug)]
+pub struct Server {
+    pub name: String,
+    pub pool: String,
+    pub process: Process,
+    pub address: SocketAddr,
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    pub daemons: Vec<Daemon>,
+    pub servers: Vec<Server>,
+    pub rating: SocketAddr,
+    pub vms: SocketAddr,
+    dir: PathBuf,
+    others: Vec<Process>,
+}
+
+impl Fleet {
+    /// Starts everything and founds the cluster on the first daemon.
+    pub async fn start(plan: &Plan) -> Self {
+        let fleet = Self::start_unfounded(plan).await;
+        fleet.await_live().await;
+        let founded = fleet.operate(0, "POST", "/v1/found", &Value::Null).await;
+        assert_eq!(founded.status, 200, "{}", founded.text());
+        fleet.await_ready().await;
+        fleet
+    }
+
+    /// Starts everything without founding a cluster.
+    pub async fn start_unfounded(plan: &Plan) -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let dir =
+            std::env::temp_dir().join(format!("samphireshift-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder for the fleet");
+        let (rating_process, rating) = Process::fake("rating", &[]);
+        let (vms_process, vms) = Process::fake("vms", &[]);
+        let others = vec![rating_process, vms_process];
+        let mut fleet = Self { daemons: Vec::new(), servers: Vec::new(), rating, vms, dir, others };
+        for arguments in &plan.cheap {
+            fleet.add_server("engine", "cheap", arguments);
+        }
+        for arguments in &plan.better {
+            fleet.add_server("engine", "better", arguments);
+        }
+        fleet.add_server("service", "ledger", &[]);
+        fleet.publish_vms(&[]).await;
+        fleet.spawn_daemons(plan, own_address(number));
+        fleet
+    }
+
+    pub fn add_server(&mut self, kind: &str, pool: &str, arguments: &[&str]) {
+        let name = format!("{pool}-{}", self.servers.len());
+        let (process, address) = Process::fake(kind, arguments);
+        self.servers.push(Server { name, pool: pool.to_owned(), process, address });
+    }
+
+    /// Puts the servers on the VM list; those in `leaving` as leaving.
+    pub async fn publish_vms(&self, leaving: &[&str]) {
+        let entry = |server: &Server| {
+            let state = if leaving.contains(&server.name.as_str()) { "leaving" } else { "live" };
+            json!({
+                "vm": server.name, "address": server.address, "data_centre": "dc-0",
+                "pool": server.pool, "state": state,
+            })
+        };
+        let list: Vec<Value> = self.servers.iter().map(entry).collect();
+        let reply = call(self.vms, "POST", "/fake/set", &[], &Value::from(list)).await;
+        assert_eq!(reply.status, 200);
+    }
+
+    fn spawn_daemons(&mut self, plan: &Plan, ip: IpAddr) {
+        let ports = free_ports(ip, plan.disks.len());
+        for (i, disk) in plan.disks.iter().enumerate() {
+            let name = format!("entry-{i}");
+            let folder = disk.then(|| self.dir.join(&name));
+            let [callers, operators, peers] = ports[i];
+            let others = ports.iter().enumerate().filter(|(j, _)| *j != i);
+            let list: Vec<String> = others.map(|(_, p)| p[2].to_string()).collect();
+            let mut sections = vec![
+                ("vm", "name", name.clone()),
+                ("vm", "data_centre", format!("dc-{}", i % 3)),
+                ("listen", "callers", callers.to_string()),
+                ("listen", "operators", operators.to_string()),
+                ("listen", "peers", peers.to_string()),
+                ("cluster", "secret", "cluster-secret".to_owned()),
+                ("cluster", "peers", list.join(", ")),
+                ("operators", "token", TOKEN.to_owned()),
+                ("platform", "vm_list", format!("http://{}", self.vms)),
+                ("rating", "address", self.rating.to_string()),
+            ];
+            if let Some(folder) = &folder {
+                sections.push(("vm", "data_folder", folder.display().to_string()));
+            }
+            sections.extend(plan.settings.iter().map(|(s, k, v)| (*s, *k, (*v).to_owned())));
+            let settings = self.dir.join(format!("{name}.ini"));
+            std::fs::write(&settings, ini(&sections)).expect("settings can be written");
+            let process = spawn_daemon(&settings);
+            self.daemons.push(Daemon {
+                name,
+                process,
+                callers,
+                operators,
+                peers,
+                settings,
+                folder,
+            });
+        }
+    }
+
+    /// Starts a daemon's process again after it ended.
+    pub fn restart(&mut self, i: usize) {
+        let daemon = &mut self.daemons[i];
+        daemon.process.kill();
+        daemon.process = spawn_daemon(&daemon.settings);
+    }
+
+    /// Waits until every daemon answers at all.
+    pub async fn await_live(&self) {
+        for daemon in &self.daemons {
+            let live = || call(daemon.operators, "GET", "/v1/live", &[], &Value::Null);
+            await_until(&format!("{} is live", daemon.name), async || live().await.status != 0)
+                .await;
+        }
+    }
+
+    /// Waits until every daemon that runs is ready for callers.
+    pub async fn await_ready(&self) {
+        for daemon in &self.daemons {
+            let ready = || call(daemon.callers, "GET", "/health/ready", &[], &Value::Null);
+            await_until(&format!("{} is ready", daemon.name), async || ready().await.status == 200)
+                .await;
+        }
+    }
+
+    /// An operator's call to a daemon.
+    pub async fn operate(&self, i: usize, method: &str, path: &str, body: &Value) -> Reply {
+        let bearer = format!("Bearer {TOKEN}");
+        call(self.daemons[i].operators, method, path, &[("authorization", &bearer)], body).await
+    }
+
+    /// Applies a ticket and waits until it is in force; panics where it is refused.
+    pub async fn apply(&self, ticket: &Value) -> u64 {
+        let answer = self.operate(0, "POST", "/v1/tickets", ticket).await;
+        let revision = answer.json()["accepted"]["revision"].as_u64();
+        let revision = revision.unwrap_or_else(|| panic!("refused: {}", answer.text()));
+        let path = format!("/v1/in-force/{revision}?wait=10000");
+        let seen = self.operate(0, "GET", &path, &Value::Null).await;
+        assert_eq!(seen.json()["in_force"], true, "{}", seen.text());
+        revision
+    }
+
+    /// A caller's chat completion.
+    pub async fn chat(&self, i: usize, headers: &[(&str, &str)], body: &Value) -> Reply {
+        self.ask(i, "/v1/chat/completions", headers, body).await
+    }
+
+    /// A caller's POST with the key of the first ticket.
+    pub async fn ask(&self, i: usize, path: &str, headers: &[(&str, &str)], body: &Value) -> Reply {
+        let bearer = format!("Bearer {}", super::ticket::KEY);
+        let mut all = vec![("authorization", bearer.as_str())];
+        all.extend_from_slice(headers);
+        call(self.daemons[i].callers, "POST", path, &all, body).await
+    }
+
+    /// Changes a fake's behaviour.
+    pub async fn set(&self, address: SocketAddr, change: &Value) {
+        assert_eq!(call(address, "POST", "/fake/set", &[], change).await.status, 200);
+    }
+
+    /// What a fake served.
+    pub async fn log(&self, address: SocketAddr) -> Vec<Value> {
+        let reply = call(address, "GET", "/fake/log", &[], &Value::Null).await;
+        reply.json().as_array().cloned().unwrap_or_default()
+    }
+
+    /// The address of the first server of a pool.
+    pub fn server(&self, pool: &str) -> SocketAddr {
+        self.servers.iter().find(|server| server.pool == pool).expect("such a server").address
+    }
+
+    /// Runs the command-line tool against a daemon.
+    pub fn tool(&self, i: usize, arguments: &[&str]) -> Output {
+        let mut command = Command::new(programs().join("samphireshift"));
+        command.env("SAMPHIRESHIFT_TOKEN", TOKEN);
+        command.arg("--operator").arg(self.daemons[i].operators.to_string());
+        command.args(arguments).output().expect("the tool can be run")
+    }
+
+    /// A file in the fleet's folder.
+    pub fn file(&self, name: &str, contents: &str) -> PathBuf {
+        let path = self.dir.join(name);
+        std::fs::write(&path, contents).expect("a file can be written");
+        path
+    }
+
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.daemons.iter_mut().for_each(|daemon| daemon.process.kill());
+        // A folder that stays behind harms nobody.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Waits, within a bound, until something holds.
+pub async fn await_until<F>(what: &str, mut holds: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    let until = Instant::now() + READY_LIMIT;
+    while !holds().await {
+        assert!(Instant::now() < until, "not reached: {what}");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+fn spawn_daemon(settings: &Path) -> Process {
+    let log = settings.with_extension("log");
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("a log file");
+    let mut command = Command::new(programs().join("samphireshiftd"));
+    command.arg("--settings").arg(settings).stderr(Stdio::from(log));
+    Process::spawn(&mut command)
+}
+
+/// A loopback address of this fleet's own, so that ports found free stay so.
+fn own_address(number: u32) -> IpAddr {
+    let id = std::process::id();
+    let [_, _, high, low] = id.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 10 + (number % 200) as u8, high, low.max(1)))
+}
+
+fn free_ports(ip: IpAddr, count: usize) -> Vec<[SocketAddr; 3]> {
+    let bind = |_| TcpListener::bind((ip, 0)).expect("a free port");
+    let listeners: Vec<[TcpListener; 3]> = (0..count).map(|_| [0; 3].map(bind)).collect();
+    let address = |listener: &TcpListener| listener.local_addr().expect("its address");
+    listeners.iter().map(|three| three.each_ref().map(address)).collect()
+}
+
+fn ini(values: &[(&str, &str, String)]) -> String {
+    let mut sections: Vec<&str> = values.iter().map(|(section, _, _)| *section).collect();
+    sections.sort_unstable();
+    sections.dedup();
+    let mut text = String::new();
+    for section in sections {
+        text.push_str(&format!("[{section}]\n"));
+        for (_, key, value) in values.iter().filter(|(s, _, _)| *s == section) {
+            text.push_str(&format!("{key} = {value}\n"));
+        }
+    }
+    text
+}
--- /dev/null
+++ b/tests/env/mod.rs
@@ -0,0 +1,10 @@
+//! Real daemons and fakes as child processes, for integration tests and the demo.
+
+#![allow(dead_code, missing_docs, reason = "each test uses a part of it")]
+
+pub mod fleet;
+pub mod http;
+pub mod process;
+pub mod ticket;
+
+pub use fleet::{Fleet, Plan};
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,116 @@
+//! The whole path through real processes.
+
+mod env;
+
+use env::fleet::await_until;
+use env::{Fleet, Plan, ticket};
+use serde_json::{Value, json};
+
+fn prompt(stream: bool) -> Value {
+    json!({ "model": "auto", "stream": stream, "messages": [{ "role": "user", "content": "hello" }] })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_is_in_force_on_all_daemons_and_requests_are_served_by_each() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    let revision = fleet.apply(&ticket::first(1)).await;
+    let status = fleet.operate(2, "GET", "/v1/status", &Value::Null).await.json();
+    for daemon in status["daemons"].as_array().unwrap() {
+        assert_eq!(daemon["revision"], revision, "{daemon}");
+    }
+    for i in 0..3 {
+        let whole = fleet.chat(i, &[], &prompt(false)).await;
+        assert_eq!(whole.status, 200, "{}", whole.text());
+        assert_eq!(whole.json()["model"], "cheap/v1");
+        let streamed = fleet.chat(i, &[], &prompt(true)).await;
+        let expected: String = (0..20).map(|n| format!("word{n} ")).collect();
+        assert_eq!(streamed.words(), Some(expected));
+    }
+    let disputed = fleet.chat(1, &[("x-task-kind", "dispute")], &prompt(false)).await;
+    assert_eq!(disputed.json()["model"], "better/v1");
+    let bills = fleet.operate(1, "GET", "/v1/bills", &Value::Null).await.json();
+    assert_eq!(bills[0][1]["count"], 7, "{bills}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_keeps_its_version_through_a_withdrawal_of_others() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    fleet.apply(&ticket::first(1)).await;
+    let session = [("x-session-id", "payee-7")];
+    assert_eq!(fleet.chat(0, &session, &prompt(false)).await.json()["model"], "cheap/v1");
+    let closing = json!({ "number": 2, "author": "test", "versions": [
+        ticket::version("cheap", "v1", "closing", 0.8, 100),
+        ticket::version("cheap", "v2", "open", 0.8, 100),
+    ]});
+    fleet.apply(&closing).await;
+    assert_eq!(fleet.chat(1, &session, &prompt(false)).await.json()["model"], "cheap/v1");
+    let other = [("x-session-id", "payee-8")];
+    assert_eq!(fleet.chat(1, &other, &prompt(false)).await.json()["model"], "cheap/v2");
+    let withdrawn = json!({ "number": 3, "author": "test", "versions": [
+        ticket::version("cheap", "v1", "withdrawn", 0.8, 100),
+    ]});
+    fleet.apply(&withdrawn).await;
+    for i in 0..3 {
+        let refused = fleet.chat(i, &session, &prompt(false)).await;
+        assert_eq!(refused.json()["error"]["code"], "version_withdrawn", "{}", refused.text());
+        assert_eq!(refused.header("x-samphireshift-ran"), "no");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment_given_twice_runs_once_and_is_answered_alike() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    fleet.apply(&ticket::first(1)).await;
+    let key = [("idempotency-key", "pay-1")];
+    let body = json!({ "payee": "estate", "amount": 125 });
+    let path = "/v1/services/ledger/payments";
+    let (first, second) =
+        tokio::join!(fleet.ask(0, path, &key, &body), fleet.ask(2, path, &key, &body));
+    assert_eq!((first.status, second.status), (200, 200), "{} {}", first.text(), second.text());
+    assert_eq!(first.body, second.body);
+    assert_eq!(fleet.log(fleet.server("ledger")).await.len(), 1);
+    let other = fleet.ask(1, path, &key, &json!({ "payee": "other", "amount": 1 })).await;
+    assert_eq!(other.json()["error"]["code"], "key_reused");
+    let keyless = fleet.ask(1, path, &[], &body).await;
+    assert_eq!(keyless.json()["error"]["ran"], "no");
+    assert_eq!(fleet.log(fleet.server("ledger")).await.len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_goes_on_at_another_replica() {
+    let engine = vec!["--versions=cheap/v1"];
+    let plan = Plan { cheap: vec![engine.clone(), engine], ..Plan::default() };
+    let fleet = Fleet::start(&plan).await;
+    fleet.apply(&ticket::first(1)).await;
+    fleet.set(fleet.server("cheap"), &json!({ "break_after": 7 })).await;
+    for _ in 0..4 {
+        let streamed = fleet.chat(0, &[], &prompt(true)).await;
+        let expected: String = (0..20).map(|n| format!("word{n} ")).collect();
+        assert_eq!(streamed.words(), Some(expected), "{}", streamed.text());
+    }
+    let bills = fleet.operate(1, "GET", "/v1/bills", &Value::Null).await.json();
+    assert_eq!(bills[0][1]["count"], 4, "{bills}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_s_death_loses_nothing_that_was_accepted() {
+    let plan = Plan { disks: vec![true, true, true], ..Plan::default() };
+    let mut fleet = Fleet::start(&plan).await;
+    fleet.apply(&ticket::first(1)).await;
+    await_until("three voters", async || {
+        let status = fleet.operate(0, "GET", "/v1/status", &Value::Null).await.json();
+        let groups = status["daemons"][0]["groups"].as_array().cloned().unwrap_or_default();
+        groups.iter().all(|group| group["voters"].as_array().is_some_and(|v| v.len() == 3))
+    })
+    .await;
+    fleet.daemons[0].process.kill();
+    for i in 1..3 {
+        let answer = fleet.chat(i, &[("x-session-id", "s")], &prompt(false)).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    let shown = fleet.operate(1, "GET", "/v1/tickets/1", &Value::Null).await;
+    assert_eq!(shown.status, 200, "{}", shown.text());
+    fleet.restart(0);
+    fleet.await_ready().await;
+    assert_eq!(fleet.chat(0, &[], &prompt(false)).await.status, 200);
+}
