Pick servers by expected time to the first token

Cause: the least reported load, read from reports half a second old, sends every router to the same server. Ruled out for now: counting own calls only, which does not see the other routers' work. Change: what a router knows of a server (corrected report, own calls, average first-token time, adaptive limit, health with half-open probes), power of few choices, prefix affinity bounded by load, retry budgets; round robin and least connections stay as settings to compare with.

--- a/src/backend/load.rs
+++ b/src/backend/load.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::{Arc, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How often each backend server is asked for its load.
 const POLL_EVERY: Duration = Duration::from_millis(500);
@@ -29,51 +29,59 @@
     pub versions: Vec<String>,
 }
 
-impl LoadReport {
-    /// Whether a version is loaded.
-    pub fn has(&self, version: &VersionKey) -> bool {
-        let wanted = version.to_string();
-        self.versions.contains(&wanted)
-    }
-}
-
-/// The newest report of each backend server, with the time when it was read.
+/// The versions that each backend server last reported as loaded.
 #[derive(Debug, Default)]
 pub struct LoadTable {
-    reports: RwLock<HashMap<VmName, (LoadReport, Instant)>>,
+    loaded: RwLock<HashMap<VmName, Vec<String>>>,
 }
 
 impl LoadTable {
-    /// Starts to read the reports of every VM in the list.
-    pub fn spawn(vms: Arc<VmList>, connections: Arc<Connections>) -> Arc<Self> {
+    /// Starts to read the reports of every VM in the list; each goes to `take` as well.
+    pub fn spawn<F>(vms: Arc<VmList>, connections: Arc<Connections>, take: F) -> Arc<Self>
+    where
+        F: Fn(&VmName, &LoadReport) + Send + Sync + 'static,
+    {
         let table = Arc::new(Self::default());
         let task = table.clone();
         tokio::spawn(async move {
             loop {
-                task.poll(&vms, &connections).await;
+                task.poll(&vms, &connections, &take).await;
                 tokio::time::sleep(POLL_EVERY).await;
             }
         });
         table
     }
 
-    /// The newest report of a server and its age.
-    pub fn report(&self, vm: &VmName) -> Option<(LoadReport, Duration)> {
-        let reports = self.reports.read().expect("load lock");
-        reports.get(vm).map(|(report, at)| (report.clone(), at.elapsed()))
+    /// Whether a server reported its versions and this is not one of them.
+    pub fn lacks(&self, vm: &VmName, version: &VersionKey) -> bool {
+        let loaded = self.loaded.read().expect("load lock");
+        let Some(versions) = loaded.get(vm).filter(|versions| !versions.is_empty()) else {
+            return false;
+        };
+        let named = |text: &String| {
+            let rest = text.strip_prefix(version.model.as_str());
+            rest.and_then(|rest| rest.strip_prefix('/')) == Some(version.version.as_str())
+        };
+        !versions.iter().any(named)
     }
 
-    async fn poll(&self, vms: &VmList, connections: &Connections) {
+    async fn poll<F>(&self, vms: &VmList, connections: &Connections, take: &F)
+    where
+        F: Fn(&VmName, &LoadReport),
+    {
         let list = vms.all();
         let live = list.iter().filter(|vm| vm.state == VmState::Live);
         let asks = live.map(|vm| async move {
             let bytes = connections.get(vm.address, "/v1/load").await?;
             let report = serde_json::from_slice::<LoadReport>(&bytes).ok()?;
-            Some((vm.vm.clone(), (report, Instant::now())))
+            Some((vm.vm.clone(), report))
         });
         let answers = futures::future::join_all(asks).await;
-        let mut reports = self.reports.write().expect("load lock");
-        reports.retain(|name, _| list.iter().any(|vm| vm.vm == *name));
-        reports.extend(answers.into_iter().flatten());
+        let mut loaded = self.loaded.write().expect("load lock");
+        loaded.retain(|name, _| list.iter().any(|vm| vm.vm == *name));
+        for (name, report) in answers.into_iter().flatten() {
+            take(&name, &report);
+            loaded.insert(name, report.versions);
+        }
     }
 }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -11,7 +11,7 @@
 use crate::ledger::LedgerState;
 use crate::peer::{Cluster, PeerIdentity, PeerNet, dispatch};
 use crate::platform::VmList;
-use crate::route::{Counters, LedgerClient, Router, RouterLease};
+use crate::route::{Budgets, Counters, LedgerClient, Router, RouterLease, Servers};
 use crate::settings::Settings;
 use crate::storage::DataFolder;
 use crate::{caller, operator};
@@ -126,7 +126,12 @@
     let connections = Arc::new(Connections::open(settings.connect));
     let source = settings.vm_list.clone();
     let vms = VmList::spawn(source, settings.poll, connections.clone(), journal.clone()).await;
-    let loads = LoadTable::spawn(vms.clone(), connections.clone());
+    let servers = Servers::open(journal.clone());
+    let (taker, listed) = (servers.clone(), vms.clone());
+    let loads = LoadTable::spawn(vms.clone(), connections.clone(), move |vm, report| {
+        taker.report(vm, report);
+        taker.keep_only(|name| listed.all().iter().any(|vm| vm.vm == *name));
+    });
     let name = RouterName { vm: settings.vm.clone(), run };
     Arc::new(Router {
         data_centre: settings.data_centre.clone(),
@@ -135,6 +140,9 @@
         connections,
         vms,
         loads,
+        servers,
+        budgets: Budgets::open(),
+        balance: settings.balance,
         counters: Counters::open(),
         journal: journal.clone(),
         rating: settings.rating,
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -1,10 +1,11 @@
-use super::counters::CountedCall;
 use super::refusal::refuse;
-use super::{Refusal, RefusalCode, Router, Unsent};
+use super::{Refusal, RefusalCode, Router, ServerCall, Unsent};
 use crate::backend::{EngineCall, SendError};
 use crate::control::VersionState;
 use crate::event::Event;
 use crate::name::{OrganisationName, VersionKey, VmName};
+use crate::platform::Vm;
+use crate::policy::PrefixKeys;
 use http::Response;
 use hyper::body::Incoming;
 use std::time::Instant;
@@ -18,7 +19,7 @@
 pub(super) struct Opened {
     pub response: Response<Incoming>,
     pub server: VmName,
-    pub call: CountedCall,
+    pub call: ServerCall,
 }
 
 /// The attempts of one request, all on the same version.
@@ -27,11 +28,12 @@
     pub deadline: Instant,
     pub tried: Vec<VmName>,
     pub count: u32,
+    pub prefix: PrefixKeys,
 }
 
 impl Attempts {
-    pub fn new(organisation: OrganisationName, deadline: Instant) -> Self {
-        Self { organisation, deadline, tried: Vec::new(), count: 0 }
+    pub fn new(organisation: OrganisationName, deadline: Instant, prefix: PrefixKeys) -> Self {
+        Self { organisation, deadline, tried: Vec::new(), count: 0, prefix }
     }
 
     /// Tries servers until one answers with a head of status 200. `unsent` is the proof that no
@@ -43,40 +45,64 @@
         unsent: &mut Option<Unsent>,
     ) -> Result<Opened, Refusal> {
         loop {
-            if self.count >= ATTEMPTS || Instant::now() >= self.deadline {
+            let pool = self.admit(router, &call.version, unsent.as_ref())?;
+            if !self.may_try(router, unsent.is_some()) {
                 return Err(self.give_up(unsent.as_ref()));
             }
-            let pool = self.admit(router, &call.version, unsent.as_ref())?;
-            let Some(vm) = router.pick(&pool, Some(&call.version), &self.tried) else {
-                return Err(no_server(unsent.as_ref()));
-            };
+            let picked = router.pick(&pool, Some(&call.version), &self.tried, &self.prefix);
+            let Some(vm) = picked else { return Err(no_server(unsent.as_ref())) };
             self.count += 1;
             self.tried.push(vm.vm.clone());
             let (request, server, attempt) = (call.request, vm.vm.clone(), self.count);
             router.journal.record(Event::AttemptStarted { request, server, attempt });
+            let under_way = router.servers.begin(&vm.vm);
             let reason = match self.exchange(router, call, &vm, unsent).await {
-                Ok(opened) => return Ok(opened),
+                Ok(response) => {
+                    under_way.answered();
+                    under_way.holds(&self.prefix);
+                    return Ok(Opened { response, server: vm.vm, call: under_way });
+                }
                 Err(Failed::Final(refusal)) => return Err(refusal),
-                Err(Failed::Again(reason)) => reason,
+                Err(Failed::Busy(reason)) => {
+                    under_way.overloaded();
+                    reason
+                }
+                Err(Failed::Again(reason)) => {
+                    under_way.failed(&reason);
+                    reason
+                }
             };
-            let server = vm.vm.clone();
-            router.journal.record(Event::AttemptFailed { request, server, reason });
+            router.journal.record(Event::AttemptFailed { request, server: vm.vm, reason });
         }
     }
 
+    /// Whether another attempt may be made. One that follows an attempt that may have reached a
+    /// server costs budget.
+    fn may_try(&self, router: &Router, unsent: bool) -> bool {
+        if self.count >= ATTEMPTS || Instant::now() >= self.deadline {
+            return false;
+        }
+        if self.count == 0 {
+            router.budgets.began(&self.organisation);
+        }
+        unsent || router.budgets.take(&self.organisation)
+    }
+
     async fn exchange(
         &self,
         router: &Router,
         call: &EngineCall,
-        vm: &crate::platform::Vm,
+        vm: &Vm,
         unsent: &mut Option<Unsent>,
-    ) -> Result<Opened, Failed> {
-        let counted = router.counters.call(&vm.vm);
+    ) -> Result<Response<Incoming>, Failed> {
         let again = |error: SendError| Failed::Again(error.to_string());
         let mut lent = router.connections.take(vm.address, false).await.map_err(again)?;
-        // The last step before the first byte: the lease and the version's state may have changed
-        // while the connection was opened.
+        // The last step before the first byte: the lease, the version's state and the server may
+        // have changed while the connection was opened.
         self.admit(router, &call.version, unsent.as_ref()).map_err(Failed::Final)?;
+        if !router.vms.may_use(&vm.vm) {
+            return Err(Failed::Busy("the server is leaving".to_owned()));
+        }
         let proof = unsent.take();
         let sent = tokio::time::timeout_at(self.deadline.into(), lent.send(call.to_http())).await;
         let response = match sent {
@@ -92,7 +118,7 @@
             }
         };
         check_head(call, &response)?;
-        Ok(Opened { response, server: vm.vm.clone(), call: counted })
+        Ok(response)
     }
 
     /// Whether the version may be given work now; its pool.
@@ -130,8 +156,13 @@
     }
 }
 
+/// How an attempt ended without an answer.
 enum Failed {
+    /// The server failed; another may do.
     Again(String),
+    /// The server has too much to do; another may have less.
+    Busy(String),
+    /// No other server would do better.
     Final(Refusal),
 }
 
@@ -149,7 +180,10 @@
     if status.is_success() {
         return Ok(());
     }
-    if status.is_client_error() && status.as_u16() != 429 {
+    if matches!(status.as_u16(), 429 | 503) {
+        return Err(Failed::Busy(format!("status {status}")));
+    }
+    if status.is_client_error() {
         let text = format!("the engine refused the request with status {status}");
         return Err(Failed::Final(Refusal::unknown(RefusalCode::BackendRefused, text)));
     }
--- a/src/route/chat.rs
+++ b/src/route/chat.rs
@@ -9,9 +9,10 @@
 use crate::event::Event;
 use crate::ledger::Bill;
 use crate::name::VersionKey;
-use crate::policy::{ChooseError, choose, share_point};
+use crate::policy::{ChooseError, PrefixKeys, choose, share_point};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
+use serde_json::Value;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -61,7 +62,8 @@
         let (meta, stream) = (request.meta.clone(), request.stream);
         let body = request.body.clone();
         let call = EngineCall { request: meta.request, version, body, resume: 0, stream };
-        let mut attempts = Attempts::new(meta.organisation.clone(), meta.deadline);
+        let mut attempts =
+            Attempts::new(meta.organisation.clone(), meta.deadline, prefix_of(request));
         if !stream {
             return self.whole(&meta, &call, &mut attempts, unsent).await;
         }
@@ -208,6 +210,17 @@
     }
 }
 
+/// The prefix that a conversation shares with its earlier turns and with others that begin alike.
+fn prefix_of(request: &ChatRequest) -> PrefixKeys {
+    let messages = request.body.get("messages").and_then(Value::as_array);
+    let mut text = String::new();
+    for message in messages.into_iter().flatten() {
+        text.push_str(message["role"].as_str().unwrap_or(""));
+        text.push_str(message["content"].as_str().unwrap_or(""));
+    }
+    PrefixKeys::of(&text)
+}
+
 /// Whether another version may be chosen: nothing was sent and no session is bound.
 fn may_plan_again(meta: &Meta, refusal: &Refusal) -> bool {
     let withdrawn = refusal.code == RefusalCode::VersionWithdrawn;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod budgets;
 mod chat;
 mod counters;
 mod lease;
@@ -10,14 +11,17 @@
 mod relay;
 mod request;
 mod router;
+mod servers;
 mod service_call;
 mod unsent;
 
 pub use answer::{Answer, StreamItem, Whole};
+pub use budgets::Budgets;
 pub use counters::Counters;
 pub use lease::RouterLease;
 pub use ledger_client::LedgerClient;
 pub use refusal::{Ran, Refusal, RefusalCode};
 pub use request::{ChatRequest, Meta, ServiceRequest};
 pub use router::Router;
+pub use servers::{ServerCall, Servers};
 pub use unsent::Unsent;
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -1,11 +1,14 @@
 use super::counters::Counters;
-use super::{Answer, LedgerClient, Ran, Refusal, RefusalCode, RouterLease, Unsent};
+use super::{
+    Answer, Budgets, LedgerClient, Ran, Refusal, RefusalCode, RouterLease, Servers, Unsent,
+};
 use crate::backend::{Connections, LoadTable};
 use crate::control::Config;
 use crate::event::{Event, Journal};
+use crate::group::since_start;
 use crate::name::{DataCentre, PoolName, RequestId, VersionKey, VmName};
 use crate::platform::{Vm, VmList};
-use crate::policy::{Candidate, pick_replica};
+use crate::policy::{Balance, Candidate, PrefixKeys, pick_replica};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -25,6 +28,12 @@
     pub vms: Arc<VmList>,
     /// Load reports.
     pub loads: Arc<LoadTable>,
+    /// What is known of backend servers.
+    pub servers: Arc<Servers>,
+    /// Retry budgets of organisations.
+    pub budgets: Budgets,
+    /// How servers are picked.
+    pub balance: Balance,
     /// Requests under way.
     pub counters: Arc<Counters>,
     /// Events.
@@ -57,29 +66,39 @@
         self.lease.config().ok_or_else(none)
     }
 
-    /// Picks a server of a pool, avoiding those already tried.
+    /// Picks a server of a pool, avoiding those already tried. Servers that hold the prompt's prefix
+    /// are preferred while they are not busy.
     pub(super) fn pick(
         &self,
         pool: &PoolName,
         version: Option<&VersionKey>,
         tried: &[VmName],
+        prefix: &PrefixKeys,
     ) -> Option<Vm> {
+        let shares = self.servers.shares(prefix);
+        let now = since_start();
         let mut candidates = Vec::new();
         for vm in self.vms.pool(pool) {
-            let report = self.loads.report(&vm.vm).map(|(report, _)| report);
-            let lacks = |key: &VersionKey| {
-                report.as_ref().is_some_and(|r| !r.versions.is_empty() && !r.has(key))
-            };
-            if tried.contains(&vm.vm) || version.is_some_and(lacks) {
+            if tried.contains(&vm.vm) || version.is_some_and(|key| self.loads.lacks(&vm.vm, key)) {
                 continue;
             }
-            let reported = report.map_or(0, |r| r.running + r.waiting);
-            let own = self.counters.calls(&vm.vm);
-            let near = vm.data_centre == self.data_centre;
-            candidates.push(Candidate { vm, reported, own, near });
+            let stats = self.servers.stats(&vm.vm);
+            let held = shares.iter().find(|(server, _)| *server == vm.vm);
+            candidates.push(Candidate {
+                load: stats.load(now),
+                slots: stats.slots(),
+                own: stats.own(),
+                room: stats.room(),
+                first: stats.first(),
+                usable: stats.may_use(now),
+                near: vm.data_centre == self.data_centre,
+                cached: held.map_or(0.0, |(_, share)| *share),
+                vm,
+            });
         }
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
-        pick_replica(&candidates, turn).map(|candidate| candidate.vm.clone())
+        let picked = pick_replica(&candidates, self.balance, turn, &mut rand::rng());
+        picked.map(|candidate| candidate.vm.clone())
     }
 
     /// Records a refusal and makes it the answer.
--- a/src/route/service_call.rs
+++ b/src/route/service_call.rs
@@ -7,6 +7,7 @@
 use crate::ledger::{Bill, Claim, ClaimState, StoredAnswer};
 use crate::name::IdempotencyKey;
 use crate::platform::Vm;
+use crate::policy::PrefixKeys;
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -96,7 +97,9 @@
         let mut proof = Some(unsent);
         let mut tried = Vec::new();
         for _ in 0..ATTEMPTS {
-            let Some(vm) = self.pick(&service.pool, None, &tried) else { break };
+            let Some(vm) = self.pick(&service.pool, None, &tried, &PrefixKeys::default()) else {
+                break;
+            };
             tried.push(vm.vm.clone());
             match self.attempt_call(request, &vm, &mut proof, false).await {
                 Ok(answer) => return Ok(answer),
@@ -163,7 +166,7 @@
         // The proof is gone as soon as an attempt may have run, and with it the loop.
         while let Some(unsent) = &proof {
             let picked = match self.find_service(request, unsent) {
-                Ok(service) => self.pick(&service.pool, None, &tried),
+                Ok(service) => self.pick(&service.pool, None, &tried, &PrefixKeys::default()),
                 Err(refusal) => return self.release(meta, key, refusal).await,
             };
             let Some(vm) = picked else {
@@ -263,8 +266,9 @@
     ) -> Result<Whole, Missed> {
         let (id, server) = (request.meta.request, vm.vm.clone());
         self.journal.record(Event::AttemptStarted { request: id, server, attempt: 1 });
-        let _counted = self.counters.call(&vm.vm);
+        let call = self.servers.begin(&vm.vm);
         let Ok(mut lent) = self.connections.take(vm.address, fresh).await else {
+            call.failed("no connection");
             return Err(Missed::NotSent);
         };
         let ready = self.lease.config().is_some() && self.vms.may_use(&vm.vm);
@@ -282,12 +286,16 @@
             Ok(Whole { status: head.status.as_u16(), media, body })
         };
         match tokio::time::timeout_at(request.meta.deadline.into(), work).await {
-            Ok(Ok(answer)) => Ok(answer),
+            Ok(Ok(answer)) => {
+                call.answered();
+                Ok(answer)
+            }
             Ok(Err(SendError::NotSent(_))) => {
                 *proof = token;
                 Err(Missed::NotSent)
             }
             Ok(Err(SendError::MaybeSent(reason))) => {
+                call.failed(&reason);
                 let server = vm.vm.clone();
                 self.journal.record(Event::AttemptFailed { request: id, server, reason });
                 Err(Missed::MaybeRan)
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::error::Error;
 use crate::name::{DataCentre, VmName};
+use crate::policy::Balance;
 use reader::Reader;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -74,6 +75,8 @@
     pub token_gap: Duration,
     /// The longest wait for a connection to a backend server.
     pub connect: Duration,
+    /// How a backend server is picked for a request.
+    pub balance: Balance,
     /// How long a stopping daemon goes on serving so that the balancer can look away.
     pub drain: Duration,
 }
@@ -121,6 +124,7 @@
             deadline: r.duration("limits", "deadline", "60s", "100ms", "1h"),
             token_gap: r.duration("limits", "token_gap", "5s", "50ms", "5m"),
             connect: r.duration("limits", "connect", "500ms", "10ms", "30s"),
+            balance: r.balance("routing", "balance"),
             drain: r.duration("limits", "drain", "2s", "0ms", "5m"),
         };
         r.check_ports(&[settings.callers, settings.operators, settings.peers]);
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -1,6 +1,7 @@
 use super::issue::{SettingsErrors, SettingsIssue};
 use super::unit::{parse_duration, parse_size};
 use super::{Settings, VmListSource};
+use crate::policy::Balance;
 use ini::Ini;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -164,6 +165,20 @@
         }
     }
 
+    pub fn balance(&mut self, section: &str, key: &str) -> Balance {
+        let Some(value) = self.optional(section, key) else { return Balance::default() };
+        match value.as_str() {
+            "expected" => Balance::Expected,
+            "round_robin" => Balance::RoundRobin,
+            "least_connections" => Balance::LeastConnections,
+            _ => {
+                let allowed = "expected, round_robin or least_connections";
+                self.fault(section, key, &format!("'{value}' is not allowed; give {allowed}"));
+                Balance::default()
+            }
+        }
+    }
+
     pub fn check_ports(&mut self, ports: &[SocketAddr]) {
         let names = ["callers", "operators", "peers"];
         for (i, a) in ports.iter().enumerate() {
