Close the listening socket before a stopping daemon finishes

Cause: xitca-web holds its listener until the last connection ends, so a caller's idle connection left new ones accepted by the kernel and hanging; its 30 s limit for a stop cannot be set through HttpServer. tests/stop.rs on the code before: answers to health checks lacked 'Connection: close', and with that mended a probe ended as 'Hanging'.

Ruled out: waiting for zero requests first (never comes under steady traffic), leaving as soon as none is counted (cuts an answer that is being written).

--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -1,43 +1,44 @@
 use super::{read, respond};
-use crate::error::Error;
 use crate::name::RequestId;
 use crate::route::{Answer, Refusal, RefusalCode, Router, Unsent};
 use http::{HeaderMap, Method};
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
 use xitca_server::ServerFuture;
 use xitca_web::body::RequestBody;
 use xitca_web::http::WebResponse;
-use xitca_web::service::fn_service;
+use xitca_web::service::{ServiceExt, fn_service};
 use xitca_web::{App, WebContext};
 
 /// Threads that serve callers.
 const WORKERS: usize = 2;
 /// How long a caller may take to send the head of a request.
 const HEAD_LIMIT: Duration = Duration::from_secs(5);
-/// How long an idle connection of a caller is kept.
-const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// The largest head of a request, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+/// How long a stopping front waits for its connections, in seconds; each ends by itself when its
+/// answers are out or when it has been idle for long enough.
+const STOP_SECONDS: u64 = 3_600;
 const SERVICES: &str = "/v1/services/";
 
-/// Serves callers on a listener until the returned future's handle stops it.
-///
-/// # Errors
-/// Where the listener cannot be used.
-pub fn serve(router: Arc<Router>, listener: TcpListener) -> Result<ServerFuture, Error> {
-    let address = listener.local_addr().map(|a| a.to_string()).unwrap_or_default();
-    let wrap = |cause| Error::Bind { address: address.clone(), cause };
-    let server = App::new()
-        .with_state(router)
-        .at("/{*}", fn_service(handle))
-        .serve()
+/// Serves callers on a listener until the returned future's handle stops it; an idle connection is
+/// kept for `idle`.
+pub fn serve(router: Arc<Router>, listener: TcpListener, idle: Duration) -> ServerFuture {
+    let config = HttpServiceConfig::new()
+        .request_head_timeout(HEAD_LIMIT)
+        .keep_alive_timeout(idle)
+        .max_read_buf_size::<HEAD_BYTES>();
+    let app = App::new().with_state(router).at("/{*}", fn_service(handle)).finish();
+    let service = Arc::new(app).enclosed(HttpServiceBuilder::with_config(config));
+    xitca_server::Builder::new()
         .disable_signal()
         .worker_threads(WORKERS)
-        .request_head_timeout(HEAD_LIMIT)
-        .keep_alive_timeout(IDLE_LIMIT)
-        .listen(listener)
-        .map_err(wrap)?;
-    Ok(server.run())
+        .shutdown_timeout(STOP_SECONDS)
+        .listen("callers", listener, service)
+        .build()
 }
 
 async fn handle(
@@ -50,7 +51,7 @@
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let closing = router.is_draining();
     if let Some(response) = health(&router, &path) {
-        return Ok(response);
+        return Ok(respond::closing_if(response, closing));
     }
     let started = Instant::now();
     let id = RequestId::random();
--- a/src/caller/respond.rs
+++ b/src/caller/respond.rs
@@ -27,6 +27,11 @@
     };
     let id = HeaderValue::from_str(&request.to_string()).expect("hex digits are a header value");
     response.headers_mut().insert(REQUEST_HEADER, id);
+    closing_if(response, closing)
+}
+
+/// Announces that the connection ends behind this answer, where it does.
+pub fn closing_if(mut response: WebResponse, closing: bool) -> WebResponse {
     if closing {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -48,9 +48,10 @@
     tokio::spawn(serve_peers(node.clone(), peers));
     tokio::spawn(keep_members(node.clone()));
     tokio::spawn(keep_lease(node.clone()));
-    let caller_server = caller::serve(node.router.clone(), callers)?;
+    let listening = stop::Listening::of(&callers, &operators)?;
+    let caller_server = caller::serve(node.router.clone(), callers, node.settings.idle);
     let operator_server = operator::serve(node.clone(), operators)?;
-    stop::run_until_stopped(node, caller_server, operator_server).await
+    stop::run_until_stopped(node, listening, caller_server, operator_server).await
 }
 
 async fn open(settings: Settings, metrics: PrometheusHandle) -> Result<Arc<Node>, Error> {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -77,6 +77,8 @@
     pub connect: Duration,
     /// How a backend server is picked for a request.
     pub balance: Balance,
+    /// How long an idle connection of a caller is kept.
+    pub idle: Duration,
     /// How long a stopping daemon goes on serving so that the balancer can look away.
     pub drain: Duration,
 }
@@ -125,6 +127,7 @@
             token_gap: r.duration("limits", "token_gap", "5s", "50ms", "5m"),
             connect: r.duration("limits", "connect", "500ms", "10ms", "30s"),
             balance: r.balance("routing", "balance"),
+            idle: r.duration("limits", "idle", "60s", "1s", "1h"),
             drain: r.duration("limits", "drain", "2s", "0ms", "5m"),
         };
         r.check_ports(&[settings.callers, settings.operators, settings.peers]);
