Let requests in by fair shares, refuse at once what cannot be served in time

Cause: nothing bounded what a router sent to a pool; a large organisation could fill every engine's queue. Ruled out: a plain bounded queue per pool, which the large organisation fills as well. Change: places at each pool, as many as the servers' adaptive limits allow; start-time fair queueing by organisation before them, displacing from the longest line; a request whose turn cannot come within its deadline is refused at once, not run, with when to come back. Plain services go through the same places. The fake engine now has slots, prefill time, a prefix cache and late load reports. Not proved: share of small organisations under load in real daemons.

--- a/examples/fake/engine.rs
+++ b/examples/fake/engine.rs
@@ -1,7 +1,8 @@
 //! A model engine: OpenAI-shaped chat completions, load reports, orders with fencing numbers.
 //!
-//! `--tokens`, `--delay-us` (between tokens), `--first-us`, `--slots`, `--versions=a/b,c/d`,
-//! `--fenced=true`. `POST /fake/set` changes `tokens`, `delay_us`, `first_us`, `break_after`,
+//! `--tokens`, `--delay-us` (between tokens), `--first-us`, `--prefill-us` (for each block of the
+//! prompt that is not cached), `--cache-blocks`, `--slots`, `--lag-ms` (of load reports),
+//! `--versions=a/b,c/d`, `--fenced=true`. `POST /fake/set` changes `tokens`, `delay_us`, `first_us`, `break_after`,
 //! `silent_after`, `status`; `GET /fake/log` tells what was served.
 
 use crate::http_server::{Body, json, read_json, serve};
@@ -11,10 +12,13 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use samphireshift::policy::PrefixKeys;
 use serde_json::{Value, json as value};
+use std::collections::VecDeque;
 use std::io;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 const DEFAULT_TOKENS: u64 = 20;
 const PROMPT_TOKENS: u64 = 12;
@@ -37,6 +41,33 @@
     fence: Mutex<u64>,
     fenced: bool,
     slots: u64,
+    places: Semaphore,
+    prefill: Duration,
+    cache: Mutex<Cache>,
+    report: Mutex<Value>,
+}
+
+/// Blocks of prompts, the most recently used last.
+struct Cache {
+    blocks: VecDeque<PrefixKeys>,
+    most: usize,
+}
+
+impl Cache {
+    /// The blocks of a prompt that were not cached; they are afterwards.
+    fn misses(&mut self, prompt: &str) -> u32 {
+        let mut misses = 0;
+        for key in PrefixKeys::of(prompt).each() {
+            let before = self.blocks.len();
+            self.blocks.retain(|block| *block != key);
+            misses += u32::from(self.blocks.len() == before);
+            self.blocks.push_back(key);
+        }
+        while self.blocks.len() > self.most {
+            self.blocks.pop_front();
+        }
+        misses
+    }
 }
 
 /// Runs an engine.
@@ -60,7 +91,18 @@
         fence: Mutex::new(0),
         fenced: options.get("fenced", true),
         slots: options.get("slots", 8),
+        places: Semaphore::new(options.get("slots", 8)),
+        prefill: micros("prefill-us"),
+        cache: Mutex::new(Cache {
+            blocks: VecDeque::new(),
+            most: options.get("cache-blocks", 256),
+        }),
+        report: Mutex::default(),
     });
+    let lag = Duration::from_millis(options.get("lag-ms", 0));
+    if !lag.is_zero() {
+        tokio::spawn(report_late(engine.clone(), lag));
+    }
     let handler = move |request: Request<Incoming>| {
         let engine = engine.clone();
         Box::pin(async move { engine.handle(request).await }) as _
@@ -68,6 +110,15 @@
     serve(options.get("port", 0), Arc::new(handler)).await
 }
 
+/// Keeps the load report as old as `lag`.
+async fn report_late(engine: Arc<Engine>, lag: Duration) {
+    loop {
+        let load = engine.load();
+        tokio::time::sleep(lag).await;
+        *engine.report.lock().unwrap() = load;
+    }
+}
+
 struct Running(Arc<Engine>);
 
 impl Running {
@@ -88,7 +139,10 @@
         let path = request.uri().path().to_owned();
         match path.as_str() {
             "/v1/chat/completions" => self.complete(request).await,
-            "/v1/load" => Some(json(200, &self.load())),
+            "/v1/load" => {
+                let late = self.report.lock().unwrap().clone();
+                Some(json(200, &if late.is_null() { self.load() } else { late }))
+            }
             "/v1/orders" => Some(self.order(read_json(request).await)),
             "/fake/set" => {
                 self.set(&read_json(request).await);
@@ -147,12 +201,19 @@
         let entry =
             value!({ "request": name, "model": body["model"], "resume": body["resume_from"] });
         self.served.lock().unwrap().push(entry);
-        tokio::time::sleep(behaviour.first).await;
+        let engine = self.clone();
+        let place = engine.places.acquire().await.expect("places are never closed");
+        let misses = self.cache.lock().unwrap().misses(&prompt_of(&body));
+        tokio::time::sleep(behaviour.first + self.prefill * misses).await;
         if behaviour.status != 200 {
             return Some(json(behaviour.status, &value!({ "error": "told to fail" })));
         }
         let mut response = match body["stream"] == true {
-            true => stream(&body, behaviour, running),
+            true => {
+                // The stream holds its place for as long as it lasts.
+                place.forget();
+                stream(&body, behaviour, Streaming(running))
+            }
             false => {
                 tokio::time::sleep(behaviour.delay * behaviour.tokens as u32).await;
                 whole(&body, &behaviour)
@@ -165,6 +226,24 @@
     }
 }
 
+/// A stream under way; it gives its place back at the end.
+struct Streaming(Running);
+
+impl Drop for Streaming {
+    fn drop(&mut self) {
+        self.0.0.places.add_permits(1);
+    }
+}
+
+fn prompt_of(body: &Value) -> String {
+    let mut text = String::new();
+    for message in body["messages"].as_array().into_iter().flatten() {
+        text.push_str(message["role"].as_str().unwrap_or(""));
+        text.push_str(message["content"].as_str().unwrap_or(""));
+    }
+    text
+}
+
 fn usage(tokens: u64) -> Value {
     value!({ "prompt_tokens": PROMPT_TOKENS, "completion_tokens": tokens })
 }
@@ -182,7 +261,7 @@
     )
 }
 
-fn stream(body: &Value, behaviour: Behaviour, running: Running) -> Response<Body> {
+fn stream(body: &Value, behaviour: Behaviour, running: Streaming) -> Response<Body> {
     let from = body["resume_from"].as_u64().unwrap_or(0);
     let model = body["model"].clone();
     let state = (from, behaviour, running, model);
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -11,7 +11,7 @@
 use crate::ledger::LedgerState;
 use crate::peer::{Cluster, PeerIdentity, PeerNet, dispatch};
 use crate::platform::VmList;
-use crate::route::{Budgets, Counters, LedgerClient, Router, RouterLease, Servers};
+use crate::route::{Admission, Budgets, Counters, LedgerClient, Router, RouterLease, Servers};
 use crate::settings::Settings;
 use crate::storage::DataFolder;
 use crate::{caller, operator};
@@ -19,11 +19,15 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// Entries behind a snapshot before the next one is taken.
 const SNAPSHOT_EVERY: u64 = 4_096;
 
+/// How often the pools' places are fitted to their servers.
+const RESIZE_EVERY: Duration = Duration::from_millis(100);
+
 /// Runs a daemon until it is told to stop.
 ///
 /// # Errors
@@ -50,6 +54,7 @@
     tokio::spawn(keep_lease(node.clone()));
     let listening = stop::Listening::of(&callers, &operators)?;
     let caller_server = caller::serve(node.router.clone(), callers, node.settings.idle);
+    tokio::spawn(keep_places(node.router.clone()));
     let operator_server = operator::serve(node.clone(), operators)?;
     stop::run_until_stopped(node, listening, caller_server, operator_server).await
 }
@@ -89,6 +94,14 @@
     }))
 }
 
+/// Fits the pools' places to their servers for ever.
+async fn keep_places(router: Arc<Router>) {
+    loop {
+        router.resize_pools();
+        tokio::time::sleep(RESIZE_EVERY).await;
+    }
+}
+
 fn open_groups(
     settings: &Settings,
     folder: Option<&DataFolder>,
@@ -142,6 +155,7 @@
         vms,
         loads,
         servers,
+        admission: Admission::open(),
         budgets: Budgets::open(),
         balance: settings.balance,
         counters: Counters::open(),
--- a/src/policy/prefix.rs
+++ b/src/policy/prefix.rs
@@ -37,6 +37,11 @@
         Self(hashes)
     }
 
+    /// Each block by itself.
+    pub fn each(&self) -> impl Iterator<Item = PrefixKeys> {
+        self.0.iter().map(|key| PrefixKeys(vec![*key]))
+    }
+
     /// The number of blocks.
     pub fn len(&self) -> usize {
         self.0.len()
--- a/src/policy/replica.rs
+++ b/src/policy/replica.rs
@@ -68,7 +68,8 @@
     }
 }
 
-/// Picks a server with room; `None` where there is none. `turn` counts up with every pick.
+/// Picks a server, one with room where there is any; `None` without candidates. `turn` counts up
+/// with every pick.
 pub fn pick_replica<'a, R>(
     candidates: &'a [Candidate],
     balance: Balance,
@@ -80,8 +81,11 @@
 {
     let usable = candidates.iter().filter(|c| c.usable).count();
     let few = (usable as f64) < candidates.len() as f64 * USABLE_SHARE;
-    let open = candidates.iter().filter(|c| (c.usable || few) && c.room > 0);
-    let open: Vec<&Candidate> = open.collect();
+    let open = candidates.iter().filter(|c| c.usable || few);
+    let mut open: Vec<&Candidate> = open.collect();
+    if open.iter().any(|c| c.room > 0) {
+        open.retain(|c| c.room > 0);
+    }
     if open.is_empty() {
         return None;
     }
--- a/src/policy/server_stats.rs
+++ b/src/policy/server_stats.rs
@@ -34,6 +34,11 @@
         self.own
     }
 
+    /// Calls that this router may have under way.
+    pub fn limit(&self) -> u64 {
+        self.limit.calls()
+    }
+
     /// Calls that this router may still begin.
     pub fn room(&self) -> u64 {
         self.limit.calls().saturating_sub(self.own)
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -1,9 +1,10 @@
 use super::refusal::refuse;
-use super::{Refusal, RefusalCode, Router, ServerCall, Unsent};
+use super::request::Meta;
+use super::{Place, Refusal, RefusalCode, Router, ServerCall, Unsent};
 use crate::backend::{EngineCall, SendError};
 use crate::control::VersionState;
 use crate::event::Event;
-use crate::name::{OrganisationName, VersionKey, VmName};
+use crate::name::{OrganisationName, PoolName, VersionKey, VmName};
 use crate::platform::Vm;
 use crate::policy::PrefixKeys;
 use http::Response;
@@ -29,11 +30,14 @@
     pub tried: Vec<VmName>,
     pub count: u32,
     pub prefix: PrefixKeys,
+    pub cost: f64,
+    pub place: Option<Place>,
 }
 
 impl Attempts {
-    pub fn new(organisation: OrganisationName, deadline: Instant, prefix: PrefixKeys) -> Self {
-        Self { organisation, deadline, tried: Vec::new(), count: 0, prefix }
+    pub fn new(meta: &Meta, prefix: PrefixKeys, cost: f64) -> Self {
+        let (organisation, deadline) = (meta.organisation.clone(), meta.deadline);
+        Self { organisation, deadline, tried: Vec::new(), count: 0, prefix, cost, place: None }
     }
 
     /// Tries servers until one answers with a head of status 200. `unsent` is the proof that no
@@ -49,6 +53,7 @@
             if !self.may_try(router, unsent.is_some()) {
                 return Err(self.give_up(unsent.as_ref()));
             }
+            self.enter(router, &pool, unsent.as_ref()).await?;
             let picked = router.pick(&pool, Some(&call.version), &self.tried, &self.prefix);
             let Some(vm) = picked else { return Err(no_server(unsent.as_ref())) };
             self.count += 1;
@@ -76,6 +81,22 @@
         }
     }
 
+    /// Waits for a place at the pool, once.
+    async fn enter(
+        &mut self,
+        router: &Router,
+        pool: &PoolName,
+        unsent: Option<&Unsent>,
+    ) -> Result<(), Refusal> {
+        if self.place.is_some() {
+            return Ok(());
+        }
+        let Some(unsent) = unsent else { return Ok(()) };
+        let entered = router.enter(pool, &self.organisation, self.cost, self.deadline, unsent);
+        self.place = Some(entered.await?);
+        Ok(())
+    }
+
     /// Whether another attempt may be made. One that follows an attempt that may have reached a
     /// server costs budget.
     fn may_try(&self, router: &Router, unsent: bool) -> bool {
@@ -127,7 +148,7 @@
         router: &Router,
         version: &VersionKey,
         unsent: Option<&Unsent>,
-    ) -> Result<crate::name::PoolName, Refusal> {
+    ) -> Result<PoolName, Refusal> {
         let Some(config) = router.lease.config() else {
             let text = "this daemon is cut off from its cluster; another one can serve the request";
             return Err(refuse(RefusalCode::NoLease, text, unsent));
--- a/src/route/chat.rs
+++ b/src/route/chat.rs
@@ -62,8 +62,7 @@
         let (meta, stream) = (request.meta.clone(), request.stream);
         let body = request.body.clone();
         let call = EngineCall { request: meta.request, version, body, resume: 0, stream };
-        let mut attempts =
-            Attempts::new(meta.organisation.clone(), meta.deadline, prefix_of(request));
+        let mut attempts = Attempts::new(&meta, prefix_of(request), cost_of(request));
         if !stream {
             return self.whole(&meta, &call, &mut attempts, unsent).await;
         }
@@ -210,6 +209,19 @@
     }
 }
 
+/// The work that a request is expected to be, in tokens of an answer.
+fn cost_of(request: &ChatRequest) -> f64 {
+    const TYPICAL_ANSWER_TOKENS: u64 = 250;
+    const BYTES_PER_TOKEN: f64 = 4.0;
+    const PROMPT_TOKENS_PER_ANSWER_TOKEN: f64 = 10.0;
+    let answer = request.body.get("max_tokens").and_then(Value::as_u64);
+    let answer = answer.unwrap_or(TYPICAL_ANSWER_TOKENS) as f64;
+    let messages = request.body.get("messages").and_then(Value::as_array);
+    let contents = messages.into_iter().flatten().filter_map(|m| m["content"].as_str());
+    let bytes: usize = contents.map(str::len).sum();
+    answer + bytes as f64 / BYTES_PER_TOKEN / PROMPT_TOKENS_PER_ANSWER_TOKEN
+}
+
 /// The prefix that a conversation shares with its earlier turns and with others that begin alike.
 fn prefix_of(request: &ChatRequest) -> PrefixKeys {
     let messages = request.body.get("messages").and_then(Value::as_array);
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,5 +1,6 @@
 //! The life of one request: admit, pin, claim, attempt, relay, bill, answer.
 
+mod admission;
 mod answer;
 mod attempt;
 mod budgets;
@@ -15,6 +16,7 @@
 mod service_call;
 mod unsent;
 
+pub use admission::{Admission, Demand, Place};
 pub use answer::{Answer, StreamItem, Whole};
 pub use budgets::Budgets;
 pub use counters::Counters;
--- a/src/route/refusal.rs
+++ b/src/route/refusal.rs
@@ -177,3 +177,17 @@
         None => Refusal::unknown(code, message),
     }
 }
+
+/// A refusal, not run, that tells when to come back.
+pub(super) fn refuse_until<S>(
+    code: RefusalCode,
+    message: S,
+    wait: Duration,
+    unsent: &Unsent,
+) -> Refusal
+where
+    S: Into<String>,
+{
+    let refusal = Refusal::not_run(code, message, unsent);
+    Refusal { retry: Some(wait), ..refusal }
+}
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -1,6 +1,7 @@
 use super::counters::Counters;
 use super::{
-    Answer, Budgets, LedgerClient, Ran, Refusal, RefusalCode, RouterLease, Servers, Unsent,
+    Admission, Answer, Budgets, LedgerClient, Ran, Refusal, RefusalCode, RouterLease, Servers,
+    Unsent,
 };
 use crate::backend::{Connections, LoadTable};
 use crate::control::Config;
@@ -30,6 +31,8 @@
     pub loads: Arc<LoadTable>,
     /// What is known of backend servers.
     pub servers: Arc<Servers>,
+    /// Places at pools.
+    pub admission: Arc<Admission>,
     /// Retry budgets of organisations.
     pub budgets: Budgets,
     /// How servers are picked.
--- a/src/route/service_call.rs
+++ b/src/route/service_call.rs
@@ -19,6 +19,8 @@
 const ANSWER_BYTES: usize = 1 << 20;
 /// Attempts of a call that may be repeated.
 const ATTEMPTS: usize = 3;
+/// The work that a call is expected to be, compared with other calls of its pool.
+const CALL_COST: f64 = 1.0;
 /// How often a repeated call looks for the first one's outcome.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// How long recording an outcome may take behind the request's deadline.
@@ -52,6 +54,10 @@
         unsent: Unsent,
     ) -> Result<Answer, Refusal> {
         let service = self.find_service(request, &unsent)?;
+        let meta = &request.meta;
+        let entered =
+            self.enter(&service.pool, &meta.organisation, CALL_COST, meta.deadline, &unsent);
+        let place = entered.await?;
         if service.repeat != Repeat::Never || request.method.is_safe() {
             let answer = self.call_freely(request, &service, unsent).await?;
             self.bill_call(&request.meta, &service).await?;
@@ -64,9 +70,11 @@
         };
         // The work goes on if the caller leaves, so that the claim always gets its outcome.
         let (router, request) = (self.clone(), request.clone());
-        let work = self
-            .runtime
-            .spawn(async move { router.call_once(request, service, key, unsent).await });
+        let work = self.runtime.spawn(async move {
+            let answer = router.call_once(request, service, key, unsent).await;
+            drop(place);
+            answer
+        });
         let lost = "the call was interrupted inside the router";
         work.await.unwrap_or_else(|_| Err(Refusal::unknown(RefusalCode::OutcomeUnknown, lost)))
     }
--- /dev/null
+++ b/tests/balance.rs
@@ -0,0 +1,216 @@
+//! Which server gets a request, and who waits.
+
+mod env;
+
+use env::{Fleet, Plan, ticket};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+use samphireshift::name::{DataCentre, OrganisationName, PoolName, VmName};
+use samphireshift::platform::{Vm, VmState};
+use samphireshift::policy::{
+    Balance, Candidate, FairQueue, PrefixKeys, PrefixTable, Queued, pick_replica,
+};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SEED: u64 = 7;
+
+fn candidate(name: &str) -> Candidate {
+    let vm = Vm {
+        vm: VmName::new(name),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: DataCentre::new("dc"),
+        pool: PoolName::new("pool"),
+        state: VmState::Live,
+    };
+    Candidate {
+        vm,
+        load: 0,
+        slots: 8,
+        own: 0,
+        room: 8,
+        first: Some(10.0),
+        usable: true,
+        near: true,
+        cached: 0.0,
+    }
+}
+
+struct Case {
+    change: fn(&mut Candidate),
+    picked: bool,
+}
+
+#[rstest]
+#[case::equal(Case { change: |_| {}, picked: true })]
+#[case::queueing(Case { change: |c| c.load = 20, picked: false })]
+#[case::slow(Case { change: |c| c.first = Some(60.0), picked: false })]
+#[case::ejected(Case { change: |c| c.usable = false, picked: false })]
+#[case::no_room(Case { change: |c| c.room = 0, picked: false })]
+#[case::far(Case { change: |c| c.near = false, picked: false })]
+#[case::cached_but_full(Case { change: |c| { c.cached = 1.0; c.load = 30 }, picked: false })]
+#[case::cached(Case { change: |c| c.cached = 1.0, picked: true })]
+fn a_server_is_picked_by_its_expected_time(#[case] case: Case) {
+    let mut candidates: Vec<Candidate> = ["a", "b", "c", "d"].map(candidate).into();
+    (case.change)(&mut candidates[0]);
+    let mut rng = Pcg64Mcg::seed_from_u64(SEED);
+    let picks = (0..400)
+        .filter(|turn| {
+            let picked = pick_replica(&candidates, Balance::Expected, *turn, &mut rng);
+            picked.is_some_and(|c| c.vm.vm.as_str() == "a")
+        })
+        .count();
+    // Three samples miss the three others only rarely, never all the time.
+    let expected = if case.picked { 60..=400 } else { 0..=20 };
+    assert!(expected.contains(&picks), "{picks} of 400");
+}
+
+#[test]
+fn with_most_of_a_pool_ejected_the_ejected_are_used_too() {
+    let mut candidates: Vec<Candidate> = ["a", "b", "c", "d"].map(candidate).into();
+    candidates.iter_mut().skip(1).for_each(|c| c.usable = false);
+    let mut rng = Pcg64Mcg::seed_from_u64(SEED);
+    let pick = |turn| pick_replica(&candidates, Balance::RoundRobin, turn, &mut rng).cloned();
+    let names: std::collections::BTreeSet<_> = (0..8).map(pick).map(|c| c.unwrap().vm.vm).collect();
+    assert_eq!(names.len(), 4);
+}
+
+#[test]
+fn missed_cache_events_end_what_was_believed_of_a_server() {
+    let (mut table, at) = (PrefixTable::default(), Duration::from_secs);
+    let keys = PrefixKeys::of(&"k".repeat(1024));
+    let server = VmName::new("a");
+    table.held(at(1), &keys, &server);
+    assert_eq!(table.shares(at(2), &keys), vec![(server.clone(), 1.0)]);
+    let longer = PrefixKeys::of(&"k".repeat(2048));
+    assert_eq!(table.shares(at(2), &longer), vec![(server.clone(), 0.5)]);
+    table.missed(at(3), &server);
+    assert!(table.shares(at(4), &keys).is_empty());
+    table.held(at(5), &keys, &server);
+    assert!(!table.shares(at(6), &keys).is_empty());
+    assert!(table.shares(at(600), &keys).is_empty());
+}
+
+/// A fair queue by linear search, without bounds.
+#[derive(Default)]
+struct NaiveQueue {
+    now: f64,
+    finish: BTreeMap<usize, f64>,
+    waiting: Vec<(f64, usize, u32)>,
+}
+
+impl NaiveQueue {
+    fn push(&mut self, organisation: usize, weight: u32, cost: f64, id: u32) {
+        let start = self.finish.get(&organisation).copied().unwrap_or(0.0).max(self.now);
+        self.finish.insert(organisation, start + cost / f64::from(weight));
+        self.waiting.push((start, organisation, id));
+    }
+
+    fn pop(&mut self) -> Option<u32> {
+        let rank = |w: &(f64, usize, u32)| (w.0, w.1, w.2);
+        let ranks = self.waiting.iter().map(rank);
+        let first = ranks.min_by(|a, b| a.partial_cmp(b).expect("tags are numbers"))?;
+        self.waiting.retain(|w| w.2 != first.2);
+        self.now = self.now.max(first.0);
+        Some(first.2)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256, rng_seed: prop::test_runner::RngSeed::Fixed(SEED), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_fair_queue_serves_like_its_naive_twin(
+        steps in prop::collection::vec((0usize..4, 1u32..4, 1u32..50, any::<bool>()), 1..120)
+    ) {
+        let (mut queue, mut naive) = (FairQueue::default(), NaiveQueue::default());
+        for (id, (organisation, weight, cost, push)) in steps.into_iter().enumerate() {
+            if push {
+                let name = OrganisationName::new(format!("o{organisation}"));
+                let weight = weight.max(1);
+                let pushed = queue.push(&name, weight, f64::from(cost), id as u32);
+                prop_assert_eq!(pushed, Queued::Waits);
+                naive.push(organisation, weight, f64::from(cost), id as u32);
+            } else {
+                prop_assert_eq!(queue.pop(), naive.pop());
+            }
+            prop_assert_eq!(queue.len(), naive.waiting.len());
+        }
+    }
+}
+
+#[test]
+fn a_small_organisation_is_not_starved_by_a_large_one() {
+    let mut queue = FairQueue::default();
+    let (large, small) = (OrganisationName::new("large"), OrganisationName::new("small"));
+    for _ in 0..200 {
+        queue.push(&large, 1, 10.0, "large");
+    }
+    for _ in 0..5 {
+        queue.push(&small, 1, 10.0, "small");
+    }
+    let first: Vec<_> = (0..12).filter_map(|_| queue.pop()).collect();
+    assert_eq!(first.iter().filter(|who| **who == "small").count(), 5, "{first:?}");
+}
+
+#[test]
+fn a_full_queue_displaces_from_the_longest_line() {
+    let mut queue = FairQueue::default();
+    let name = |i: usize| OrganisationName::new(format!("o{i}"));
+    for i in 0..4 {
+        for _ in 0..256 {
+            queue.push(&name(i), 1, 1.0, i);
+        }
+    }
+    assert_eq!(queue.push(&name(0), 1, 1.0, 0), Queued::Full(0));
+    assert!(matches!(queue.push(&name(9), 1, 1.0, 9), Queued::Displaced(i) if i < 4));
+    assert_eq!(queue.len(), 1024);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_cannot_be_served_in_time_is_refused_at_once_and_the_rest_is_served() {
+    let engine = vec!["--versions=cheap/v1", "--slots=2", "--first-us=100000"];
+    let plan = Plan { cheap: vec![engine], ..Plan::default() };
+    let fleet = Fleet::start(&plan).await;
+    fleet.apply(&ticket::first(1)).await;
+    let body = json!({ "messages": [{ "role": "user", "content": "hello" }] });
+    let headers = [("x-deadline-ms", "1500")];
+    let sends = (0..200).map(|_| fleet.chat(0, &headers, &body));
+    let answers = futures::future::join_all(sends).await;
+    let served = answers.iter().filter(|a| a.status == 200).count();
+    assert!(served > 0);
+    let refused: Vec<_> = answers.iter().filter(|a| a.status != 200).collect();
+    assert!(!refused.is_empty());
+    for answer in refused.iter().filter(|a| a.status == 429) {
+        assert_eq!(answer.header("x-samphireshift-ran"), "no");
+        assert!(answer.header("retry-after").parse::<u64>().unwrap() >= 1);
+    }
+    assert!(refused.iter().any(|answer| answer.status == 429));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_server_is_ejected_and_comes_back() {
+    let engine = vec!["--versions=cheap/v1"];
+    let plan = Plan { cheap: vec![engine.clone(), engine], ..Plan::default() };
+    let fleet = Fleet::start(&plan).await;
+    fleet.apply(&ticket::first(1)).await;
+    let body = json!({ "messages": [{ "role": "user", "content": "hello" }] });
+    fleet.set(fleet.server("cheap"), &json!({ "status": 500 })).await;
+    for _ in 0..30 {
+        assert_eq!(fleet.chat(0, &[], &body).await.status, 200);
+    }
+    let before = fleet.log(fleet.server("cheap")).await.len();
+    assert!(before < 12, "{before} requests went to the failing server");
+    fleet.set(fleet.server("cheap"), &json!({ "status": 200 })).await;
+    env::fleet::await_until("the server is used again", async || {
+        assert_eq!(fleet.chat(0, &[], &body).await.status, 200);
+        fleet.log(fleet.server("cheap")).await.len() > before + 5
+    })
+    .await;
+}
