Learn from answers, judge versions and move roll-outs on

Cause: versions were chosen by the ticket's quality alone; nothing stopped a version that turned bad and no roll-out moved by itself.

Change: routers send counts with their lease renewals; the control group's leader merges them once each, judges versions by sequential tests and commits stops, steps and a compact summary. The choice uses a lower confidence bound on quality, expected cost, bounded exploration and, for answers that are not streamed, cascades.

--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -1,4 +1,4 @@
-use crate::name::{RequestId, VersionKey};
+use crate::name::{RequestId, TaskKind, VersionKey};
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::Full;
@@ -26,6 +26,8 @@
     pub request: RequestId,
     /// The version that must answer.
     pub version: VersionKey,
+    /// The kind of task.
+    pub kind: TaskKind,
     /// The caller's body.
     pub body: Map<String, Value>,
     /// Tokens that the caller already has from a broken stream.
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,4 +1,4 @@
-use super::{Rollout, Ticket, TicketAnswer};
+use super::{Rollout, SummaryChange, Ticket, TicketAnswer};
 use crate::name::VersionKey;
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,8 @@
     },
     /// Takes the next fencing number.
     Fence,
+    /// Keeps what was learned from answers; changes no revision.
+    Learn(SummaryChange),
 }
 
 /// What a command brought about.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,5 +1,5 @@
 use super::{
-    Config, ControlCommand, ControlOutcome, ObjectName, Rollout, Ticket, TicketAnswer,
+    Config, ControlCommand, ControlOutcome, ObjectName, Rollout, Summary, Ticket, TicketAnswer,
     TicketRecord, TicketRefusal, VersionState, validate,
 };
 use crate::name::VersionKey;
@@ -15,6 +15,7 @@
     tickets: BTreeMap<u64, TicketRecord>,
     stops: BTreeMap<VersionKey, String>,
     fence: u64,
+    summary: Summary,
 }
 
 impl ControlState {
@@ -38,6 +39,16 @@
         self.stops.get(version).map(String::as_str)
     }
 
+    /// What was learned from answers.
+    pub fn summary(&self) -> &Summary {
+        &self.summary
+    }
+
+    /// Versions that were stopped, each with its evidence.
+    pub fn stops(&self) -> impl Iterator<Item = (&VersionKey, &str)> {
+        self.stops.iter().map(|(version, evidence)| (version, evidence.as_str()))
+    }
+
     /// Applies one committed command.
     pub fn apply(&mut self, command: ControlCommand) -> ControlOutcome {
         match command {
@@ -48,6 +59,10 @@
                 self.fence += 1;
                 ControlOutcome::Fence(self.fence)
             }
+            ControlCommand::Learn(change) => {
+                self.summary.apply(change);
+                ControlOutcome::Unchanged
+            }
         }
     }
 
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -23,6 +23,7 @@
     pub async fn grant(&self, ask: LeaseAsk) -> LeaseAnswer {
         self.journal.observe(ask.stamp);
         self.note_ack(&ask);
+        self.take_report(&ask);
         self.await_newer(ask.revision).await;
         let config = self.control(|state| state.config().clone());
         // Whether this daemon still leads is asked last: the configuration was current then.
@@ -31,7 +32,8 @@
         }
         let config =
             Some(config).filter(|config| config.revision > ask.revision || config.revision == 0);
-        LeaseAnswer::Granted { config, stamp: self.journal.stamp() }
+        let (counted, learned) = self.take_report(&ask);
+        LeaseAnswer::Granted { config, stamp: self.journal.stamp(), counted, learned }
     }
 
     /// Notes the router's revision and its lease; false where this daemon may not grant any.
--- a/src/daemon/lease_loop.rs
+++ b/src/daemon/lease_loop.rs
@@ -21,8 +21,12 @@
     loop {
         let asked = since_start();
         let renewed = match ask(&node, round).await {
-            Some(LeaseAnswer::Granted { config, stamp }) => {
+            Some(LeaseAnswer::Granted { config, stamp, counted, learned }) => {
                 node.journal.observe(stamp);
+                node.router.learner.acknowledge(counted);
+                if let Some(change) = learned {
+                    node.router.learner.learn(change);
+                }
                 if node.router.lease.renew(asked, node.settings.lease, config) {
                     let revision = node.router.lease.revision().unwrap_or(0);
                     node.journal.record(Event::RevisionInstalled { revision });
@@ -38,6 +42,7 @@
                 false
             }
         };
+        node.router.learner.release();
         held = note(&node, held);
         if !renewed {
             round += 1;
@@ -52,6 +57,8 @@
         router: Router { vm: identity.vm, run: identity.run },
         revision: node.router.lease.revision().unwrap_or(0),
         stamp: node.journal.stamp(),
+        report: node.router.learner.report(),
+        epoch: node.router.learner.epoch(),
     };
     if node.cluster.control().status().leading {
         return Some(node.grant(ask).await);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,11 +1,13 @@
 //! The daemon: everything put together, its duties as leader, its start and its stop.
 
 mod lead;
+mod learn;
 mod lease_loop;
 mod membership;
 mod node;
 mod operate;
 mod peer_server;
+mod rollouts;
 mod start;
 mod stop;
 
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -5,6 +5,7 @@
 use crate::group::{Group, GroupId, GroupStatus, Replicated};
 use crate::name::VmName;
 use crate::peer::{Cluster, GroupView, NodeStatus, PeerIdentity};
+use crate::policy::Board;
 use crate::route::Router;
 use crate::settings::Settings;
 use crate::storage::DataFolder;
@@ -25,6 +26,8 @@
     pub folder: Mutex<Option<DataFolder>>,
     /// Leases that it granted as leader.
     pub leases: Mutex<Option<LeaderLeases>>,
+    /// What it gathers from routers as leader.
+    pub board: Mutex<Option<Board>>,
     /// Its metrics.
     pub metrics: PrometheusHandle,
     /// Told when an operator asks it to stop.
--- a/src/daemon/operate.rs
+++ b/src/daemon/operate.rs
@@ -84,6 +84,7 @@
             OperatorCall::Config => {
                 OperatorReply::Config(self.control(|state| state.config().clone()))
             }
+            OperatorCall::Evidence => OperatorReply::Evidence(self.evidence()),
             OperatorCall::BillSums => OperatorReply::BillSums(self.bill_sums()),
             OperatorCall::Bills(organisation) => OperatorReply::Bills(self.bills(&organisation)),
         }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -1,6 +1,7 @@
 use super::lease_loop::keep_lease;
 use super::membership::keep_members;
 use super::peer_server::serve_peers;
+use super::rollouts::keep_rollouts;
 use super::{Node, stop};
 use crate::backend::{Connections, LoadTable};
 use crate::consensus::{MemberId, Timing};
@@ -11,7 +12,9 @@
 use crate::ledger::LedgerState;
 use crate::peer::{Cluster, PeerIdentity, PeerNet, dispatch};
 use crate::platform::VmList;
-use crate::route::{Admission, Budgets, Counters, LedgerClient, Router, RouterLease, Servers};
+use crate::route::{
+    Admission, Budgets, Counters, Learner, LedgerClient, Router, RouterLease, Servers,
+};
 use crate::settings::Settings;
 use crate::storage::DataFolder;
 use crate::{caller, operator};
@@ -20,7 +23,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 /// Entries behind a snapshot before the next one is taken.
 const SNAPSHOT_EVERY: u64 = 4_096;
@@ -28,6 +31,9 @@
 /// How often the pools' places are fitted to their servers.
 const RESIZE_EVERY: Duration = Duration::from_millis(100);
 
+/// Ratings of answers that a router waits for at once.
+const RATINGS: usize = 64;
+
 /// Runs a daemon until it is told to stop.
 ///
 /// # Errors
@@ -52,6 +58,7 @@
     tokio::spawn(serve_peers(node.clone(), peers));
     tokio::spawn(keep_members(node.clone()));
     tokio::spawn(keep_lease(node.clone()));
+    tokio::spawn(keep_rollouts(node.clone()));
     let listening = stop::Listening::of(&callers, &operators)?;
     let caller_server = caller::serve(node.router.clone(), callers, node.settings.idle);
     tokio::spawn(keep_places(node.router.clone()));
@@ -89,6 +96,7 @@
         router,
         folder: Mutex::new(folder),
         leases: Mutex::new(None),
+        board: Mutex::new(None),
         metrics,
         stop: tokio::sync::Notify::new(),
     }))
@@ -147,6 +155,8 @@
         taker.keep_only(|name| listed.all().iter().any(|vm| vm.vm == *name));
     });
     let name = RouterName { vm: settings.vm.clone(), run };
+    let sample = settings.rating.map_or(0, |_| settings.sample);
+    let learner = Learner::open(name.clone(), settings.weights, sample, journal.clone());
     Arc::new(Router {
         data_centre: settings.data_centre.clone(),
         lease: RouterLease::default(),
@@ -161,7 +171,8 @@
         counters: Counters::open(),
         journal: journal.clone(),
         rating: settings.rating,
-        sample: settings.sample,
+        learner,
+        ratings: Arc::new(Semaphore::new(RATINGS)),
         token_gap: settings.token_gap,
         deadline: settings.deadline,
         body_limit: settings.body_limit,
--- a/src/event/kind.rs
+++ b/src/event/kind.rs
@@ -37,8 +37,11 @@
     AnswerBilled { request: RequestId, cost: u64 },
     AnswerRelayed { request: RequestId, tokens: u64 },
     CallerLeft { request: RequestId },
+    AnswerEscalated { request: RequestId, version: VersionKey, quality: Option<f64> },
     VersionStopped { version: VersionKey, evidence: String },
     RolloutStepped { rollout: RolloutName, share: u32 },
+    VersionHeld { version: VersionKey, evidence: String },
+    VersionKept { version: VersionKey, evidence: String },
     ServerLeaving { server: VmName },
     ServerGone { server: VmName },
     ServerEjected { server: VmName, reason: String },
@@ -84,8 +87,11 @@
             Event::AnswerBilled { .. } => 49,
             Event::AnswerRelayed { .. } => 50,
             Event::CallerLeft { .. } => 51,
+            Event::AnswerEscalated { .. } => 56,
             Event::VersionStopped { .. } => 60,
             Event::RolloutStepped { .. } => 61,
+            Event::VersionHeld { .. } => 62,
+            Event::VersionKept { .. } => 63,
             Event::ServerLeaving { .. } => 70,
             Event::ServerGone { .. } => 71,
             Event::ServerEjected { .. } => 72,
@@ -110,6 +116,7 @@
             | Event::AnswerRated { request, .. }
             | Event::AnswerBilled { request, .. }
             | Event::AnswerRelayed { request, .. }
+            | Event::AnswerEscalated { request, .. }
             | Event::CallerLeft { request } => Some(*request),
             _ => None,
         }
@@ -131,6 +138,9 @@
             Event::SessionPinned { version, .. }
             | Event::VersionChosen { version, .. }
             | Event::AnswerRated { version, .. }
+            | Event::AnswerEscalated { version, .. }
+            | Event::VersionHeld { version, .. }
+            | Event::VersionKept { version, .. }
             | Event::VersionStopped { version, .. } => Some(version),
             _ => None,
         }
--- a/src/operator/front.rs
+++ b/src/operator/front.rs
@@ -117,6 +117,7 @@
         }
         ("GET", ["v1", "status"]) => document(&fleet(node).await),
         ("GET", ["v1", "config"]) => leader(node, OperatorCall::Config).await,
+        ("GET", ["v1", "evidence"]) => leader(node, OperatorCall::Evidence).await,
         ("GET", ["v1", "bills"]) => leader(node, OperatorCall::BillSums).await,
         ("GET", ["v1", "bills", name]) => {
             leader(node, OperatorCall::Bills(OrganisationName::new(*name))).await
@@ -156,6 +157,7 @@
                 "organisations": config.organisations.keys().collect::<Vec<_>>(),
             }))
         }
+        OperatorReply::Evidence(view) => document(&view),
         OperatorReply::BillSums(sums) => document(&sums),
         OperatorReply::Bills(bills) => document(&bills),
         OperatorReply::NotLeader { .. } | OperatorReply::Lost => Err(Problem(503, text.to_owned())),
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,8 +1,9 @@
-use crate::control::{Config, Router, Ticket, TicketAnswer, TicketRecord};
+use crate::control::{Config, Evidence, LearnedEntry, Router, Ticket, TicketAnswer, TicketRecord};
 use crate::event::Stamp;
 use crate::group::{GroupId, SubmitError};
 use crate::ledger::{Bill, BillSum};
-use crate::name::{DataCentre, OrganisationName, VmName};
+use crate::name::{DataCentre, OrganisationName, VersionKey, VmName};
+use crate::policy::{CountReport, Epoch, KnowledgeChange};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -16,6 +17,10 @@
     pub revision: u64,
     /// Its clock.
     pub stamp: Stamp,
+    /// What it counted, where a report is due or not yet acknowledged.
+    pub report: Option<CountReport>,
+    /// What its knowledge is up to date with.
+    pub epoch: Epoch,
 }
 
 /// The leader's answer.
@@ -27,6 +32,10 @@
         config: Option<Arc<Config>>,
         /// The leader's clock.
         stamp: Stamp,
+        /// The last report that was taken in.
+        counted: u64,
+        /// What was learned since the router's epoch.
+        learned: Option<KnowledgeChange>,
     },
     /// This daemon does not lead.
     NotLeader {
@@ -75,6 +84,8 @@
     ShowTicket(u64),
     /// The configuration.
     Config,
+    /// What speaks against versions, and what was learned of them.
+    Evidence,
     /// Sums of all bills.
     BillSums,
     /// The bills of one organisation.
@@ -106,12 +117,34 @@
     ShowTicket(Option<TicketRecord>),
     /// The configuration.
     Config(Arc<Config>),
+    /// What speaks against versions, and what was learned of them.
+    Evidence(EvidenceView),
     /// Sums of all bills.
     BillSums(Vec<(OrganisationName, BillSum)>),
     /// Bills.
     Bills(Vec<Bill>),
 }
 
+/// What is known of versions from their answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EvidenceView {
+    /// Versions that were stopped.
+    pub stopped: Vec<StoppedVersion>,
+    /// Evidence against versions that take work.
+    pub evidence: Vec<Evidence>,
+    /// Sums by organisation, kind and version.
+    pub learned: Vec<LearnedEntry>,
+}
+
+/// A version that was stopped on evidence.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StoppedVersion {
+    /// The version.
+    pub version: VersionKey,
+    /// Why.
+    pub evidence: String,
+}
+
 /// One group as a daemon sees it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GroupView {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,7 +16,8 @@
 pub use identity::PeerIdentity;
 pub use link::Link;
 pub use message::{
-    GroupView, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply, SubmitAnswer,
+    EvidenceView, GroupView, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply,
+    StoppedVersion, SubmitAnswer,
 };
 pub use net::PeerNet;
 pub use outbox::dispatch;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,21 +1,42 @@
 //! The decisions, as pure code: which version, which replica, whom to admit.
 
+mod board;
 mod choose;
+mod delta;
+mod estimate;
 mod fair_queue;
 mod health;
+mod judge;
+mod kind_key;
+mod knowledge;
 mod limit;
+mod plan;
 mod prefix;
 mod replica;
 mod retry_budget;
 mod server_stats;
 mod service_rate;
+mod signal_test;
+mod steps;
+mod weights;
+mod wish;
 
-pub use choose::{Choice, ChooseError, Wish, choose, share_point};
+pub use board::{Board, Verdict};
+pub use choose::{Choice, ChooseError, Draw, choose, share_point};
+pub use delta::{CountReport, Delta};
+pub use estimate::Estimate;
 pub use fair_queue::{FairQueue, Queued};
 pub use health::Health;
+pub use judge::{Judge, Reference};
+pub use kind_key::KindKey;
+pub use knowledge::{Epoch, Flags, Goal, Knowledge, KnowledgeChange};
 pub use limit::Limit;
+pub use plan::{Plan, Scene};
 pub use prefix::{PrefixKeys, PrefixTable};
 pub use replica::{Balance, Candidate, pick_replica};
 pub use retry_budget::RetryBudget;
 pub use server_stats::ServerStats;
 pub use service_rate::ServiceRate;
+pub use steps::next_step;
+pub use weights::Weights;
+pub use wish::Wish;
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -1,3 +1,4 @@
+use super::learned::Seen;
 use super::refusal::refuse;
 use super::request::Meta;
 use super::{Place, Refusal, RefusalCode, Router, ServerCall, Unsent};
@@ -7,7 +8,7 @@
 use crate::name::{OrganisationName, PoolName, VersionKey, VmName};
 use crate::platform::Vm;
 use crate::policy::PrefixKeys;
-use http::Response;
+use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use std::time::Instant;
 
@@ -105,6 +106,8 @@
         }
         if self.count == 0 {
             router.budgets.began(&self.organisation);
+            // The next version of a cascade is asked for the first time: no retry.
+            return true;
         }
         unsent || router.budgets.take(&self.organisation)
     }
@@ -138,6 +141,9 @@
                 return Err(Failed::Final(Refusal::unknown(RefusalCode::DeadlinePassed, text)));
             }
         };
+        if is_fault(response.status()) {
+            router.note(&self.organisation, &call.kind, &call.version, Seen::Failed);
+        }
         check_head(call, &response)?;
         Ok(response)
     }
@@ -192,6 +198,11 @@
     refuse(RefusalCode::NoServer, text, unsent)
 }
 
+/// Whether a status speaks against the version, rather than for a server with too much to do.
+fn is_fault(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE
+}
+
 fn check_head(call: &EngineCall, response: &Response<Incoming>) -> Result<(), Failed> {
     let echoed = response.headers().get(REQUEST_HEADER).and_then(|value| value.to_str().ok());
     if echoed.is_some_and(|id| id != call.request.to_string()) {
--- a/src/route/chat.rs
+++ b/src/route/chat.rs
@@ -1,15 +1,17 @@
 use super::attempt::{Attempts, Opened};
+use super::cascade::{Spent, call_of, rating_of};
 use super::counters::Counted;
+use super::learned::Seen;
 use super::refusal::refuse;
 use super::relay::Relay;
 use super::request::{ChatRequest, Meta};
-use super::{Answer, Ran, Refusal, RefusalCode, Router, Unsent, Whole};
-use crate::backend::{EngineCall, Rating, Usage, rate, usage_of};
+use super::{Answer, Ran, Refusal, RefusalCode, Router, Unsent};
+use crate::backend::{EngineCall, Usage, usage_of};
 use crate::control::{Config, VersionState};
 use crate::event::Event;
 use crate::ledger::Bill;
-use crate::name::VersionKey;
-use crate::policy::{ChooseError, PrefixKeys, choose, share_point};
+use crate::name::{OrganisationName, TaskKind, VersionKey};
+use crate::policy::{Choice, ChooseError, Draw, PrefixKeys};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use serde_json::Value;
@@ -20,6 +22,8 @@
 const ANSWER_BYTES: usize = 16 << 20;
 /// How often a version is chosen anew when the chosen one is withdrawn before anything was sent.
 const PLANS: usize = 4;
+/// The longest that a rating is waited for after the answer went out.
+const LATE_RATING: Duration = Duration::from_secs(5);
 /// How long committing a bill may take behind the request's deadline.
 pub(super) const BILL_GRACE: Duration = Duration::from_secs(10);
 
@@ -58,20 +62,20 @@
                 "the request was sent before",
             ));
         };
-        let version = self.plan(request, proof).await?;
-        let (meta, stream) = (request.meta.clone(), request.stream);
-        let body = request.body.clone();
-        let call = EngineCall { request: meta.request, version, body, resume: 0, stream };
-        let mut attempts = Attempts::new(&meta, prefix_of(request), cost_of(request));
-        if !stream {
-            return self.whole(&meta, &call, &mut attempts, unsent).await;
+        let choice = self.plan(request, proof).await?;
+        if !request.stream {
+            return self.whole(request, &choice, unsent).await;
         }
+        let meta = request.meta.clone();
+        let call = call_of(request, &choice.version);
+        let mut attempts = Attempts::new(&meta, prefix_of(request), cost_of(request));
         let opened = attempts.open(self, &call, unsent).await?;
         Ok(Relay::spawn(self.clone(), meta, call, attempts, opened, counted.clone()))
     }
 
-    /// The version that must answer: the session's, or a new choice, pinned.
-    async fn plan(&self, request: &ChatRequest, unsent: &Unsent) -> Result<VersionKey, Refusal> {
+    /// The version that must answer: the session's, or a new choice. The session is pinned to it,
+    /// unless the answer may come from the next version of a cascade.
+    async fn plan(&self, request: &ChatRequest, unsent: &Unsent) -> Result<Choice, Refusal> {
         let meta = &request.meta;
         let config = self.config(unsent)?;
         let Some(session) = &meta.session else { return self.choose(&config, request, unsent) };
@@ -79,7 +83,10 @@
             return check_pinned(&config, version, unsent);
         }
         let wanted = self.choose(&config, request, unsent)?;
-        let pin = self.ledger.pin(&meta.organisation, session, wanted, meta.deadline);
+        if wanted.escalate.is_some() {
+            return Ok(wanted);
+        }
+        let pin = self.ledger.pin(&meta.organisation, session, wanted.version, meta.deadline);
         let Ok(version) = pin.await else {
             let text = "the session's version cannot be looked up now";
             return Err(Refusal::not_run(RefusalCode::NoLedger, text, unsent));
@@ -97,60 +104,88 @@
         config: &Config,
         request: &ChatRequest,
         unsent: &Unsent,
-    ) -> Result<VersionKey, Refusal> {
+    ) -> Result<Choice, Refusal> {
         let meta = &request.meta;
         let Some(organisation) = config.organisations.get(&meta.organisation) else {
             let text = "the organisation of this key is gone";
             return Err(Refusal::not_run(RefusalCode::UnknownKey, text, unsent));
         };
-        let point = share_point(&share_seed(meta));
-        match choose(config, organisation, &meta.kind, &request.wish, point) {
+        let draw = Draw::of(&share_seed(meta), may_cascade(request));
+        match self.learner.choose(config, organisation, meta, &request.wish, draw) {
             Ok(choice) => {
                 self.journal.record(Event::VersionChosen {
                     request: meta.request,
                     version: choice.version.clone(),
-                    reason: choice.reason,
+                    reason: choice.reason.clone(),
                 });
-                Ok(choice.version)
+                Ok(choice)
             }
             Err(error) => Err(Refusal::not_run(code_of(&error), error.to_string(), unsent)),
         }
     }
 
-    async fn whole(
-        self: &Arc<Self>,
+    /// Reads a whole answer, from another server where one breaks off.
+    pub(super) async fn answer(
+        &self,
         meta: &Meta,
         call: &EngineCall,
         attempts: &mut Attempts,
         unsent: &mut Option<Unsent>,
-    ) -> Result<Answer, Refusal> {
+    ) -> Result<(Bytes, Usage), Refusal> {
+        let began = Instant::now();
         loop {
             let opened = attempts.open(self, call, unsent).await?;
-            let Some((body, usage)) = read_whole(opened, meta.deadline).await else {
-                let reason = "the answer broke off".to_owned();
-                let server = attempts.tried.last().cloned().expect("an attempt was made");
-                self.journal.record(Event::AttemptFailed { request: call.request, server, reason });
-                continue;
+            let note = |seen| self.note(&meta.organisation, &meta.kind, &call.version, seen);
+            let reason = match read_whole(opened, attempts.deadline).await {
+                Ok((body, usage)) => {
+                    note(Seen::Whole(usage, began.elapsed()));
+                    return Ok((body, usage));
+                }
+                Err(Spoilt::Broken) => "the answer broke off".to_owned(),
+                Err(Spoilt::Malformed) => {
+                    note(Seen::Malformed);
+                    "the answer was malformed".to_owned()
+                }
             };
-            self.bill(meta, &call.version, usage).await?;
-            self.rate_later(meta, call, &body);
-            let media = "application/json".to_owned();
-            return Ok(Answer::Whole(Whole { status: 200, media, body }));
+            let server = attempts.tried.last().cloned().expect("an attempt was made");
+            self.journal.record(Event::AttemptFailed { request: call.request, server, reason });
         }
     }
 
-    /// Commits the bill of an answered request.
+    /// Notes what became of an attempt, for later choices.
+    pub(super) fn note(
+        &self,
+        organisation: &OrganisationName,
+        kind: &TaskKind,
+        version: &VersionKey,
+        seen: Seen,
+    ) {
+        if let Some(config) = self.lease.config() {
+            self.learner.note(&config, organisation, kind, version, seen);
+        }
+    }
+
+    /// Commits the bill of a request that one answer served.
     pub(super) async fn bill(
         &self,
         meta: &Meta,
         version: &VersionKey,
         usage: Usage,
     ) -> Result<(), Refusal> {
-        let config = self.lease.config();
-        let price = config.and_then(|c| c.versions.get(version).map(|v| v.price));
-        let (prompt, answer) = (usage.prompt_tokens, usage.completion_tokens);
-        let cost = price.unwrap_or_default().cost(prompt, answer);
-        let request = meta.request;
+        let mut spent = Spent::default();
+        spent.add(usage, self.cost(version, usage));
+        self.bill_spent(meta, version, spent).await
+    }
+
+    /// Commits the bill of an answered request, with the cost of all its answers.
+    pub(super) async fn bill_spent(
+        &self,
+        meta: &Meta,
+        version: &VersionKey,
+        spent: Spent,
+    ) -> Result<(), Refusal> {
+        let (prompt, answer) = (spent.usage.prompt_tokens, spent.usage.completion_tokens);
+        let (request, cost) = (meta.request, spent.cost);
         let bill = Bill { request, item: version.to_string(), prompt, answer, cost };
         let deadline = Instant::now() + BILL_GRACE;
         let done = self.ledger.bill(&meta.organisation, meta.session.as_ref(), bill, deadline);
@@ -165,41 +200,43 @@
     /// Has a sample of the answers rated, after they went out.
     pub(super) fn rate_later(self: &Arc<Self>, meta: &Meta, call: &EngineCall, answer: &Bytes) {
         const THOUSAND: u64 = 1_000;
-        let Some(address) = self.rating else { return };
-        if rand::random_range(0..THOUSAND) >= self.sample {
+        let Some(config) = self.lease.config().filter(|_| self.rating.is_some()) else { return };
+        let share = self.learner.sample(&config, meta, &call.version);
+        if rand::random_range(0..THOUSAND) >= share || self.learner.health.millis().is_none() {
             return;
         }
-        let rating = Rating {
-            request: call.request,
-            version: call.version.clone(),
-            kind: meta.kind.clone(),
-            prompt: serde_json::to_string(&call.body).unwrap_or_default(),
-            answer: String::from_utf8_lossy(answer).into_owned(),
-        };
-        let router = self.clone();
+        let Ok(permit) = self.ratings.clone().try_acquire_owned() else { return };
+        let rating = rating_of(meta, call, answer);
+        let (router, meta) = (self.clone(), meta.clone());
         tokio::spawn(async move {
-            if let Some(quality) = rate(&router.connections, address, &rating).await {
-                let (request, version) = (rating.request, rating.version);
-                router.journal.record(Event::AnswerRated { request, version, quality });
-            }
+            router.rate(&meta, &rating, Instant::now() + LATE_RATING).await;
+            drop(permit);
         });
     }
 }
 
-async fn read_whole(opened: Opened, deadline: Instant) -> Option<(Bytes, Usage)> {
+/// Why an answer could not be used.
+enum Spoilt {
+    /// The connection or the time ended; the version need not be at fault.
+    Broken,
+    /// The version gave something that is no answer.
+    Malformed,
+}
+
+async fn read_whole(opened: Opened, deadline: Instant) -> Result<(Bytes, Usage), Spoilt> {
     let body = Limited::new(opened.response.into_body(), ANSWER_BYTES).collect();
-    let body = tokio::time::timeout_at(deadline.into(), body).await.ok()?.ok()?.to_bytes();
-    let usage = usage_of(&body)?;
-    Some((body, usage))
+    let read = tokio::time::timeout_at(deadline.into(), body).await;
+    let body = read.map_err(|_| Spoilt::Broken)?.map_err(|_| Spoilt::Broken)?.to_bytes();
+    let usage = usage_of(&body).ok_or(Spoilt::Malformed)?;
+    Ok((body, usage))
 }
 
-fn check_pinned(
-    config: &Config,
-    version: VersionKey,
-    unsent: &Unsent,
-) -> Result<VersionKey, Refusal> {
+fn check_pinned(config: &Config, version: VersionKey, unsent: &Unsent) -> Result<Choice, Refusal> {
     match config.versions.get(&version).map(|v| v.state) {
-        Some(VersionState::Open | VersionState::Closing) => Ok(version),
+        Some(VersionState::Open | VersionState::Closing) => {
+            let reason = "the session's version".to_owned();
+            Ok(Choice { version, escalate: None, reason })
+        }
         _ => {
             let text = format!(
                 "this session began on version '{version}', which was withdrawn; begin a new session"
@@ -210,7 +247,7 @@
 }
 
 /// The work that a request is expected to be, in tokens of an answer.
-fn cost_of(request: &ChatRequest) -> f64 {
+pub(super) fn cost_of(request: &ChatRequest) -> f64 {
     const TYPICAL_ANSWER_TOKENS: u64 = 250;
     const BYTES_PER_TOKEN: f64 = 4.0;
     const PROMPT_TOKENS_PER_ANSWER_TOKEN: f64 = 10.0;
@@ -223,7 +260,7 @@
 }
 
 /// The prefix that a conversation shares with its earlier turns and with others that begin alike.
-fn prefix_of(request: &ChatRequest) -> PrefixKeys {
+pub(super) fn prefix_of(request: &ChatRequest) -> PrefixKeys {
     let messages = request.body.get("messages").and_then(Value::as_array);
     let mut text = String::new();
     for message in messages.into_iter().flatten() {
@@ -239,6 +276,15 @@
     withdrawn && refusal.ran == Ran::No && meta.session.is_none()
 }
 
+/// Whether an answer may be judged before it goes out: it is not streamed, and within a session it is
+/// the first one.
+fn may_cascade(request: &ChatRequest) -> bool {
+    let messages = request.body.get("messages").and_then(Value::as_array);
+    let answered = |message: &Value| message["role"] == "assistant";
+    let first = !messages.into_iter().flatten().any(answered);
+    !request.stream && (request.meta.session.is_none() || first)
+}
+
 fn share_seed(meta: &Meta) -> String {
     match &meta.session {
         Some(session) => format!("{}/{session}", meta.organisation),
--- a/src/route/relay.rs
+++ b/src/route/relay.rs
@@ -1,5 +1,6 @@
 use super::attempt::{Attempts, Opened};
 use super::counters::Counted;
+use super::learned::Seen;
 use super::request::Meta;
 use super::{Answer, Refusal, Router, StreamItem};
 use crate::backend::{EngineCall, EventStream, Usage, usage_of};
@@ -8,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::sync::mpsc;
 
 /// Pieces that may wait for a slow caller before the engine is left waiting too.
@@ -25,6 +27,7 @@
     relayed: u64,
     usage: Option<Bytes>,
     text: BytesMut,
+    began: Instant,
 }
 
 /// How one engine's part of the stream ended.
@@ -46,7 +49,8 @@
     ) -> Answer {
         let (output, input) = mpsc::channel(PIECES);
         let (usage, text) = (None, BytesMut::new());
-        let relay = Self { router, meta, call, attempts, output, relayed: 0, usage, text };
+        let began = Instant::now();
+        let relay = Self { router, meta, call, attempts, output, relayed: 0, usage, text, began };
         tokio::spawn(async move {
             relay.run(opened).await;
             drop(counted);
@@ -89,13 +93,16 @@
             };
             let data = match frame {
                 Err(_) => return Part::Broken("silent between tokens".to_owned()),
-                Ok(None) => return Part::Broken("ended without its end mark".to_owned()),
+                Ok(None) => return self.malformed("ended without its end mark"),
                 Ok(Some(Err(error))) => return Part::Broken(error.to_string()),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             let Some(cut) = events.push(&data) else {
-                return Part::Broken("an event was too large".to_owned());
+                return self.malformed("an event was too large");
             };
+            if self.relayed == 0 && cut.count > 0 {
+                self.note(Seen::First(self.began.elapsed()));
+            }
             self.relayed += cut.count;
             if !cut.events.is_empty() {
                 self.text.extend_from_slice(&cut.events);
@@ -112,11 +119,21 @@
         }
     }
 
+    fn malformed(&self, reason: &str) -> Part {
+        self.note(Seen::Malformed);
+        Part::Broken(reason.to_owned())
+    }
+
+    fn note(&self, seen: Seen) {
+        self.router.note(&self.meta.organisation, &self.meta.kind, &self.call.version, seen);
+    }
+
     /// Bills, then releases the last events.
     async fn finish(self) {
         let usage = self.usage.as_deref().and_then(usage_of);
         let counted = Usage { prompt_tokens: 0, completion_tokens: self.relayed };
         let usage = usage.unwrap_or(counted);
+        self.note(Seen::Whole(usage, self.began.elapsed()));
         if let Err(refusal) = self.router.bill(&self.meta, &self.call.version, usage).await {
             return self.break_off(refusal).await;
         }
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -1,7 +1,7 @@
 use super::counters::Counters;
 use super::{
-    Admission, Answer, Budgets, LedgerClient, Ran, Refusal, RefusalCode, RouterLease, Servers,
-    Unsent,
+    Admission, Answer, Budgets, Learner, LedgerClient, Ran, Refusal, RefusalCode, RouterLease,
+    Servers, Unsent,
 };
 use crate::backend::{Connections, LoadTable};
 use crate::control::Config;
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 /// Everything that serving a request needs.
 pub struct Router {
@@ -43,8 +44,10 @@
     pub journal: Arc<Journal>,
     /// The rating service, where there is one.
     pub rating: Option<SocketAddr>,
-    /// The share of answers that are rated, in thousandths.
-    pub sample: u64,
+    /// What is learned from answers.
+    pub learner: Arc<Learner>,
+    /// Ratings that may be waited for at once.
+    pub ratings: Arc<Semaphore>,
     /// The longest silence between two tokens.
     pub token_gap: Duration,
     /// The deadline of a request that names none.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::error::Error;
 use crate::name::{DataCentre, VmName};
-use crate::policy::Balance;
+use crate::policy::{Balance, Weights};
 use reader::Reader;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -67,6 +67,8 @@
     pub rating: Option<SocketAddr>,
     /// The share of answers that are rated, in thousandths.
     pub sample: u64,
+    /// What cost, latency and exposure weigh against one another.
+    pub weights: Weights,
     /// The largest request body, in bytes.
     pub body_limit: usize,
     /// The deadline of a request that names none.
@@ -122,6 +124,11 @@
             poll: r.duration("platform", "poll", "500ms", "50ms", "1m"),
             rating: r.optional_address("rating", "address"),
             sample: r.number("rating", "sample", 200, 0, 1000),
+            weights: Weights {
+                cost: r.number("weights", "cost", 1, 0, 100) as u32,
+                latency: r.number("weights", "latency", 1, 0, 100) as u32,
+                exposure: r.number("weights", "exposure", 1, 0, 100) as u32,
+            },
             body_limit: r.size("limits", "body", "1MiB", "1KiB", "64MiB"),
             deadline: r.duration("limits", "deadline", "60s", "100ms", "1h"),
             token_gap: r.duration("limits", "token_gap", "5s", "50ms", "5m"),
