--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -37,6 +37,7 @@
 pub use retry_budget::RetryBudget;
 pub use server_stats::ServerStats;
 pub use service_rate::ServiceRate;
-pub use steps::next_step;
+pub use signal_test::Batch;
+pub use steps::{StepStart, next_step};
 pub use weights::Weights;
 pub use wish::Wish;
