Hold leases around writes, bound the ledger and settle what routers leave behind

Cause: an older configuration could be worked under between the check and the bytes; a claim whose commit was only late blocked its key until each duplicate's deadline; a router's death left its claims open for ever; claims, bills, pins and ticket records grew without bound; a ticket refused for its contents could be accepted later from a delayed copy; a ticket could withdraw an organisation's last version. Change: a guarded stream asks the lease and the version's state around every write, under the lock that a new configuration needs, and breaks the connection where the answer is no; bytes written decide between 'not sent' and 'maybe'. A release voids its request, so that a late claim is refused; a failed claim is released in the background. A duplicate takes the place of a first call that gave up (before, it waited for itself). Leaders of ledger groups settle claims and tentative pins whose router has no lease. Ledger time, measured by leaders and committed by compare and set, drives a retention for pins, claims, bills. A lease answer reads the configuration after its lease was noted. Settings check lease against election and heartbeat. A submit at a cut-off leader ends at its deadline. Tests get a fault-injecting proxy. Ruled out: an expiry by wall clocks; a tombstone in place of the claim (a third call could remove it).

--- a/src/backend/connections.rs
+++ b/src/backend/connections.rs
@@ -1,3 +1,4 @@
+use super::{Guard, GuardedStream, Permit};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Full};
@@ -6,7 +7,7 @@
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -36,6 +37,7 @@
 
 struct Idle {
     sender: Sender,
+    guard: Arc<Guard>,
     since: Instant,
 }
 
@@ -50,6 +52,7 @@
     owner: &'a Connections,
     address: SocketAddr,
     sender: Sender,
+    guard: Arc<Guard>,
 }
 
 impl Connections {
@@ -64,8 +67,9 @@
     /// # Errors
     /// [`SendError::NotSent`] where none can be opened.
     pub async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Lent<'_>, SendError> {
-        if !fresh && let Some(sender) = self.idle(address) {
-            return Ok(Lent { owner: self, address, sender });
+        if !fresh && let Some((sender, guard)) = self.idle(address) {
+            guard.begin(None);
+            return Ok(Lent { owner: self, address, sender, guard });
         }
         let dial = TcpStream::connect(address);
         let stream = match tokio::time::timeout(self.connect, dial).await {
@@ -75,13 +79,15 @@
         };
         let not_sent = |cause: String| SendError::NotSent(cause);
         stream.set_nodelay(true).map_err(|cause| not_sent(cause.to_string()))?;
+        let guard = Arc::new(Guard::default());
+        let stream = GuardedStream::open(stream, guard.clone());
         let opened = handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
         let (sender, connection) = opened.map_err(|cause| not_sent(cause.to_string()))?;
         tokio::spawn(async move {
             // The exchange in progress reports the error to its caller.
             let _ = connection.await;
         });
-        Ok(Lent { owner: self, address, sender })
+        Ok(Lent { owner: self, address, sender, guard })
     }
 
     /// Fetches a small document; `None` where it cannot be had.
@@ -115,12 +121,12 @@
         &self.shards[address.port() as usize % SHARDS]
     }
 
-    fn idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn idle(&self, address: SocketAddr) -> Option<(Sender, Arc<Guard>)> {
         let mut shard = self.shard(address).lock().expect("connection lock");
         let stack = shard.get_mut(&address)?;
         while let Some(idle) = stack.pop() {
             if idle.sender.is_ready() && idle.since.elapsed() < IDLE_LIMIT {
-                return Some(idle.sender);
+                return Some((idle.sender, idle.guard));
             }
         }
         None
@@ -128,10 +134,15 @@
 }
 
 impl Lent<'_> {
+    /// Has a permit asked around every write of the exchange that follows.
+    pub fn guard(&self, permit: Arc<dyn Permit>) {
+        self.guard.begin(Some(permit));
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
-    /// [`SendError::MaybeSent`], unless the connection was closed before anything was written.
+    /// [`SendError::MaybeSent`], unless no byte of the request left this process.
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
@@ -141,6 +152,7 @@
         let outcome = self.sender.try_send_request(request).await;
         outcome.map_err(|mut failed| match failed.take_message() {
             Some(_) => SendError::NotSent(failed.error().to_string()),
+            None if self.guard.written() == 0 => SendError::NotSent(failed.error().to_string()),
             None => SendError::MaybeSent(failed.error().to_string()),
         })
     }
@@ -150,7 +162,8 @@
         let mut shard = self.owner.shard(self.address).lock().expect("connection lock");
         let stack = shard.entry(self.address).or_default();
         if stack.len() < IDLE_PER_ADDRESS {
-            stack.push(Idle { sender: self.sender, since: Instant::now() });
+            let Lent { sender, guard, .. } = self;
+            stack.push(Idle { sender, guard, since: Instant::now() });
         }
     }
 }
--- a/src/control/lease_table.rs
+++ b/src/control/lease_table.rs
@@ -58,10 +58,12 @@
     /// assert!(table.in_force(at(251), 5));
     /// ```
     pub fn in_force(&self, now: Duration, revision: u64) -> bool {
-        if now < self.since + self.period {
-            return false;
-        }
-        self.lagging(now, revision).next().is_none()
+        self.is_settled(now) && self.lagging(now, revision).next().is_none()
+    }
+
+    /// Whether every lease that a predecessor granted has run out.
+    pub fn is_settled(&self, now: Duration) -> bool {
+        now >= self.since + self.period
     }
 
     /// Routers that may still work under an older revision.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod state;
 mod summary;
 mod ticket;
+mod ticket_book;
 mod validate;
 mod version;
 
@@ -27,4 +28,5 @@
 pub use state::ControlState;
 pub use summary::{Counted, KEYS, Summary, SummaryChange};
 pub use ticket::{ObjectName, Ticket, TicketAnswer, TicketDigest, TicketRecord, TicketRefusal};
+pub use ticket_book::TICKETS_KEPT;
 pub use version::{Price, Version, VersionState};
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,3 +1,4 @@
+use super::ticket_book::TicketBook;
 use super::{
     Config, ControlCommand, ControlOutcome, ObjectName, Rollout, Summary, Ticket, TicketAnswer,
     TicketRecord, TicketRefusal, VersionState, validate,
@@ -12,7 +13,7 @@
 pub struct ControlState {
     config: Arc<Config>,
     carried: BTreeMap<ObjectName, u64>,
-    tickets: BTreeMap<u64, TicketRecord>,
+    tickets: TicketBook,
     stops: BTreeMap<VersionKey, String>,
     fence: u64,
     summary: Summary,
@@ -26,12 +27,12 @@
 
     /// An accepted ticket.
     pub fn ticket(&self, number: u64) -> Option<&TicketRecord> {
-        self.tickets.get(&number)
+        self.tickets.get(number)
     }
 
     /// Accepted tickets, newest first.
     pub fn tickets(&self) -> impl Iterator<Item = (u64, &TicketRecord)> {
-        self.tickets.iter().rev().map(|(number, record)| (*number, record))
+        self.tickets.newest()
     }
 
     /// The evidence on which a version was stopped.
@@ -77,7 +78,12 @@
     fn apply_ticket(&mut self, ticket: Ticket) -> TicketAnswer {
         let next = match self.judge(&ticket) {
             Ok(next) => next,
-            Err(answer) => return answer,
+            Err(answer) => {
+                if let TicketAnswer::Refused(refusal @ TicketRefusal::Invalid { .. }) = &answer {
+                    self.tickets.refuse(ticket.number, ticket.digest(), refusal.clone());
+                }
+                return answer;
+            }
         };
         let revision = next.revision;
         let objects = ticket.objects();
@@ -89,18 +95,14 @@
         }
         let (digest, author) = (ticket.digest(), ticket.author);
         let record = TicketRecord { digest, author, revision, objects };
-        self.tickets.insert(ticket.number, record);
+        self.tickets.accept(ticket.number, record);
         self.config = Arc::new(next);
         TicketAnswer::Accepted { revision }
     }
 
     fn judge(&self, ticket: &Ticket) -> Result<Config, TicketAnswer> {
-        if let Some(record) = self.tickets.get(&ticket.number) {
-            if record.digest == ticket.digest() {
-                return Err(TicketAnswer::Accepted { revision: record.revision });
-            }
-            let (number, author) = (ticket.number, record.author.clone());
-            return Err(TicketAnswer::Refused(TicketRefusal::Conflict { number, author }));
+        if let Some(answer) = self.tickets.earlier(ticket.number, ticket.digest()) {
+            return Err(answer);
         }
         for object in ticket.objects() {
             let newer = self.carried.get(&object).copied().unwrap_or(0);
@@ -109,7 +111,7 @@
             }
         }
         let next = self.merged(ticket);
-        let reasons = validate::reasons(ticket, &next);
+        let reasons = validate::reasons(ticket, &self.config, &next);
         match reasons.is_empty() {
             true => Ok(next),
             false => Err(TicketAnswer::Refused(TicketRefusal::Invalid { reasons })),
--- a/src/control/ticket.rs
+++ b/src/control/ticket.rs
@@ -31,7 +31,7 @@
 }
 
 /// The SHA-256 of a ticket's contents.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct TicketDigest([u8; 32]);
 
@@ -106,6 +106,12 @@
         /// The number that it carries.
         newer: u64,
     },
+    /// The number is so far below the newest ones that its record may have been dropped.
+    #[error("numbers up to {floor} are closed; use a number above {floor}")]
+    Closed {
+        /// The highest closed number.
+        floor: u64,
+    },
     /// The contents are not allowed.
     #[error("the ticket is not valid: {}", reasons.join("; "))]
     Invalid {
--- a/src/control/validate.rs
+++ b/src/control/validate.rs
@@ -1,12 +1,12 @@
 //! What a ticket may say, judged against the configuration that it would make.
 
-use super::{Config, Organisation, Rollout, Ticket, Version};
+use super::{Config, Organisation, Rollout, Ticket, Version, VersionState};
 use std::collections::BTreeSet;
 
 const FULL_SHARE: u32 = 1_000;
 
-/// Every reason why the ticket cannot stand; empty where it can.
-pub fn reasons(ticket: &Ticket, next: &Config) -> Vec<String> {
+/// Every reason why the ticket cannot turn `current` into `next`; empty where it can.
+pub fn reasons(ticket: &Ticket, current: &Config, next: &Config) -> Vec<String> {
     let mut out = Vec::new();
     if ticket.author.trim().is_empty() {
         out.push("'author' is empty; name who made the ticket".to_owned());
@@ -24,9 +24,27 @@
     next.versions.values().for_each(|version| check_version(version, next, &mut out));
     next.organisations.values().for_each(|o| check_organisation(o, next, &mut out));
     next.rollouts.values().for_each(|rollout| check_rollout(rollout, next, &mut out));
+    check_served(current, next, &mut out);
     out
 }
 
+/// A ticket may not take the last usable version from an organisation. One that has none left,
+/// because versions were stopped on evidence, does not stand in the way of other changes.
+fn check_served(current: &Config, next: &Config, out: &mut Vec<String>) {
+    for (name, organisation) in &next.organisations {
+        let before = current.organisations.get(name);
+        let lost = before.is_none_or(|before| is_served(before, current));
+        if lost && !is_served(organisation, next) {
+            out.push(format!("organisation {name} would have no version that takes work"));
+        }
+    }
+}
+
+fn is_served(organisation: &Organisation, config: &Config) -> bool {
+    let usable = |version: &Version| version.state != VersionState::Withdrawn;
+    config.versions_for(organisation).any(|(_, version)| usable(version))
+}
+
 fn check_version(version: &Version, next: &Config, out: &mut Vec<String>) {
     let key = version.key();
     if !next.models.contains_key(&version.model) {
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -1,7 +1,7 @@
 //! What the control group's leader does for routers: leases and the wait for `in force`.
 
 use super::Node;
-use crate::control::LeaseTable;
+use crate::control::{LeaseTable, Router};
 use crate::group::since_start;
 use crate::name::VmName;
 use crate::peer::{LeaseAnswer, LeaseAsk};
@@ -25,9 +25,12 @@
         self.note_ack(&ask);
         self.take_report(&ask);
         self.await_newer(ask.revision).await;
+        // The lease is noted before the configuration is read: a wait for `in force` that did not
+        // see this lease was answered before, so its revision is in what is read now. Whether this
+        // daemon still leads is asked last: the configuration was current then.
+        let noted = self.note_ack(&ask);
         let config = self.control(|state| state.config().clone());
-        // Whether this daemon still leads is asked last: the configuration was current then.
-        if !self.note_ack(&ask) {
+        if !noted || !self.cluster.control().may_serve() {
             return LeaseAnswer::NotLeader { leader: self.leader() };
         }
         let config =
@@ -73,6 +76,15 @@
         }
     }
 
+    /// Routers with a live lease, `None` within while a predecessor's may still be alive; `None`
+    /// where this daemon does not lead.
+    pub fn live_routers(&self) -> Option<Option<Vec<Router>>> {
+        self.with_leases(|table, now| {
+            let live = || table.live(now).map(|(router, _)| router.clone()).collect();
+            table.is_settled(now).then(live)
+        })
+    }
+
     /// Works on the lease table of the current term; `None` where this daemon does not lead.
     fn with_leases<F, T>(&self, work: F) -> Option<T>
     where
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod lead;
 mod learn;
 mod lease_loop;
+mod ledger_care;
 mod membership;
 mod node;
 mod operate;
--- a/src/daemon/operate.rs
+++ b/src/daemon/operate.rs
@@ -87,6 +87,10 @@
             OperatorCall::Evidence => OperatorReply::Evidence(self.evidence()),
             OperatorCall::BillSums => OperatorReply::BillSums(self.bill_sums()),
             OperatorCall::Bills(organisation) => OperatorReply::Bills(self.bills(&organisation)),
+            OperatorCall::LiveRouters => match self.live_routers() {
+                Some(live) => OperatorReply::LiveRouters(live),
+                None => OperatorReply::NotLeader { leader: self.leader() },
+            },
         }
     }
 
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -1,4 +1,5 @@
 use super::lease_loop::keep_lease;
+use super::ledger_care::keep_ledgers;
 use super::membership::keep_members;
 use super::peer_server::serve_peers;
 use super::rollouts::keep_rollouts;
@@ -59,6 +60,7 @@
     tokio::spawn(keep_members(node.clone()));
     tokio::spawn(keep_lease(node.clone()));
     tokio::spawn(keep_rollouts(node.clone()));
+    tokio::spawn(keep_ledgers(node.clone()));
     let listening = stop::Listening::of(&callers, &operators)?;
     let caller_server = caller::serve(node.router.clone(), callers, node.settings.idle);
     tokio::spawn(keep_places(node.router.clone()));
@@ -159,8 +161,8 @@
     let learner = Learner::open(name.clone(), settings.weights, sample, journal.clone());
     Arc::new(Router {
         data_centre: settings.data_centre.clone(),
-        lease: RouterLease::default(),
-        ledger: LedgerClient::open(cluster.clone(), name),
+        lease: Arc::new(RouterLease::default()),
+        ledger: LedgerClient::open(cluster.clone(), name, settings.retention.pins),
         connections,
         vms,
         loads,
--- a/src/operator/front.rs
+++ b/src/operator/front.rs
@@ -160,6 +160,7 @@
         OperatorReply::Evidence(view) => document(&view),
         OperatorReply::BillSums(sums) => document(&sums),
         OperatorReply::Bills(bills) => document(&bills),
+        OperatorReply::LiveRouters(live) => document(&live),
         OperatorReply::NotLeader { .. } | OperatorReply::Lost => Err(Problem(503, text.to_owned())),
     }
 }
--- a/src/peer/cluster.rs
+++ b/src/peer/cluster.rs
@@ -112,7 +112,9 @@
     ) -> Option<Bytes> {
         let group = self.groups.get(&id)?;
         if group.status().leading {
-            return group.submit(command.clone()).await.ok();
+            // A leader that is cut off commits nothing; the deadline holds all the same.
+            let submitted = group.submit(command.clone());
+            return tokio::time::timeout_at(deadline.into(), submitted).await.ok()?.ok();
         }
         let client = self.way_to_leader(id, round)?;
         let mut context = context::current();
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -90,6 +90,8 @@
     BillSums,
     /// The bills of one organisation.
     Bills(OrganisationName),
+    /// Routers with a live lease.
+    LiveRouters,
 }
 
 /// The leader's answer to an operator.
@@ -123,6 +125,8 @@
     BillSums(Vec<(OrganisationName, BillSum)>),
     /// Bills.
     Bills(Vec<Bill>),
+    /// Routers with a live lease; `None` while a predecessor's leases may still be alive.
+    LiveRouters(Option<Vec<Router>>),
 }
 
 /// What is known of versions from their answers.
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -1,7 +1,7 @@
 use super::learned::Seen;
 use super::refusal::refuse;
 use super::request::Meta;
-use super::{Place, Refusal, RefusalCode, Router, ServerCall, Unsent};
+use super::{Place, Refusal, RefusalCode, Router, ServerCall, Unsent, Work, WorkPermit};
 use crate::backend::{EngineCall, SendError};
 use crate::control::VersionState;
 use crate::event::Event;
@@ -127,6 +127,9 @@
         if !router.vms.may_use(&vm.vm) {
             return Err(Failed::Busy("the server is leaving".to_owned()));
         }
+        let work = Work::Version(call.version.clone());
+        let lease = router.lease.clone();
+        lent.guard(WorkPermit::open(lease, self.organisation.clone(), work));
         let proof = unsent.take();
         let sent = tokio::time::timeout_at(self.deadline.into(), lent.send(call.to_http())).await;
         let response = match sent {
--- a/src/route/lease.rs
+++ b/src/route/lease.rs
@@ -44,6 +44,22 @@
         held.as_ref().filter(|held| since_start() < held.until).map(|held| held.config.clone())
     }
 
+    /// Runs `work` if the lease is alive and `allowed` holds of its configuration. No newer
+    /// configuration is installed meanwhile, so `work` must be short. False where it was not run,
+    /// or where the lease ran out before its end.
+    pub fn hold<F>(&self, allowed: F, work: &mut dyn FnMut()) -> bool
+    where
+        F: FnOnce(&Config) -> bool,
+    {
+        let held = self.held.read().expect("lease lock");
+        let Some(held) = held.as_ref() else { return false };
+        if since_start() >= held.until || !allowed(&held.config) {
+            return false;
+        }
+        work();
+        since_start() < held.until
+    }
+
     /// The revision last installed, with or without a lease; `None` before the first.
     pub fn revision(&self) -> Option<u64> {
         self.held.read().expect("lease lock").as_ref().map(|held| held.config.revision)
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -21,7 +21,7 @@
     /// Where this router stands.
     pub data_centre: DataCentre,
     /// The leave to work.
-    pub lease: RouterLease,
+    pub lease: Arc<RouterLease>,
     /// Pins, claims and bills.
     pub ledger: LedgerClient,
     /// Connections to backend servers.
--- a/src/route/service_call.rs
+++ b/src/route/service_call.rs
@@ -1,6 +1,6 @@
 use super::refusal::refuse;
 use super::request::{Meta, ServiceRequest};
-use super::{Answer, Refusal, RefusalCode, Router, Unsent, Whole};
+use super::{Answer, Refusal, RefusalCode, Router, Unsent, Whole, Work, WorkPermit};
 use crate::backend::SendError;
 use crate::control::{Repeat, Service};
 use crate::event::Event;
@@ -21,8 +21,10 @@
 const ATTEMPTS: usize = 3;
 /// The work that a call is expected to be, compared with other calls of its pool.
 const CALL_COST: f64 = 1.0;
-/// How often a repeated call looks for the first one's outcome.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// The pause before a repeated call first looks again for the first one's outcome; it doubles.
+const LOOK_FIRST: Duration = Duration::from_millis(20);
+/// The longest such pause.
+const LOOK_LAST: Duration = Duration::from_millis(500);
 /// How long recording an outcome may take behind the request's deadline.
 const SETTLE_GRACE: Duration = Duration::from_secs(10);
 
@@ -131,15 +133,29 @@
         unsent: Unsent,
     ) -> Result<Answer, Refusal> {
         let (meta, digest) = (&request.meta, digest_of(&request));
-        let claim = self.claim(meta, &key, digest, &unsent).await?;
-        if claim.digest != digest {
-            let text = "this idempotency key was used for another call; use a new key";
-            return Err(Refusal::not_run(RefusalCode::KeyReused, text, &unsent));
-        }
+        let mut claim = self.claim(meta, &key, digest, &unsent).await?;
+        let mut pause = LOOK_FIRST;
         if claim.request != meta.request {
             let (request, first) = (meta.request, claim.request);
             self.journal.record(Event::ClaimRepeated { request, first });
-            return self.await_first(meta, &key, claim, &unsent).await;
+        }
+        // A duplicate waits for the first one's outcome, and takes its place if it gives up.
+        while claim.request != meta.request {
+            if claim.digest != digest {
+                let text = "this idempotency key was used for another call; use a new key";
+                return Err(Refusal::not_run(RefusalCode::KeyReused, text, &unsent));
+            }
+            match claim.state {
+                ClaimState::Answered(stored) => return Ok(Answer::Whole(replayed(stored))),
+                ClaimState::Unknown => return Err(open_outcome()),
+                ClaimState::Running if Instant::now() + pause >= meta.deadline => {
+                    return Err(open_outcome());
+                }
+                ClaimState::Running => tokio::time::sleep(pause).await,
+            }
+            pause = (pause * 2).min(LOOK_LAST);
+            let looked = self.claim(meta, &key, digest, &unsent).await;
+            claim = looked.map_err(|_| open_outcome())?;
         }
         let (id, name) = (meta.request, service.name.clone());
         self.journal.record(Event::ClaimCommitted { request: id, service: name });
@@ -156,6 +172,8 @@
         let done =
             self.ledger.claim(&meta.organisation, key, meta.request, digest, meta.deadline).await;
         done.map_err(|_| {
+            // The claim may still be committed; nobody will ever send under it.
+            self.ledger.release_later(&meta.organisation, key, meta.request);
             let text = "the claim could not be committed; ask again with the same key";
             Refusal::not_run(RefusalCode::NoLedger, text, unsent)
         })
@@ -199,7 +217,7 @@
         let deadline = Instant::now() + SETTLE_GRACE;
         let released = self.ledger.release(&meta.organisation, key, meta.request, deadline).await;
         if released.is_err() {
-            log::warn!("request {}: its claim could not be given up", meta.request);
+            self.ledger.release_later(&meta.organisation, key, meta.request);
         }
         Err(refusal)
     }
@@ -239,32 +257,6 @@
         Err(open_outcome())
     }
 
-    /// Waits for the outcome of the call that came first.
-    async fn await_first(
-        &self,
-        meta: &Meta,
-        key: &IdempotencyKey,
-        claim: Claim,
-        unsent: &Unsent,
-    ) -> Result<Answer, Refusal> {
-        let mut claim = claim;
-        loop {
-            match claim.state {
-                ClaimState::Answered(stored) => {
-                    let StoredAnswer { status, media, body } = stored;
-                    return Ok(Answer::Whole(Whole { status, media, body }));
-                }
-                ClaimState::Unknown => return Err(open_outcome()),
-                ClaimState::Running if Instant::now() >= meta.deadline => {
-                    return Err(open_outcome());
-                }
-                ClaimState::Running => tokio::time::sleep(LOOK_EVERY).await,
-            }
-            claim =
-                self.claim(meta, key, claim.digest, unsent).await.map_err(|_| open_outcome())?;
-        }
-    }
-
     async fn attempt_call(
         &self,
         request: &ServiceRequest,
@@ -283,6 +275,9 @@
         if !ready {
             return Err(Missed::NotSent);
         }
+        let lease = self.lease.clone();
+        let work = Work::Service(request.service.clone());
+        lent.guard(WorkPermit::open(lease, request.meta.organisation.clone(), work));
         let token = proof.take();
         let work = async {
             let response = lent.send(to_http(request)).await?;
@@ -326,6 +321,11 @@
     }
 }
 
+fn replayed(stored: StoredAnswer) -> Whole {
+    let StoredAnswer { status, media, body } = stored;
+    Whole { status, media, body }
+}
+
 fn open_outcome() -> Refusal {
     let text =
         "the call may or may not have run and will not be sent again; check with the service";
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,7 @@
 pub use unit::{parse_duration, parse_size};
 
 use crate::error::Error;
+use crate::ledger::Retention;
 use crate::name::{DataCentre, VmName};
 use crate::policy::{Balance, Weights};
 use reader::Reader;
@@ -49,6 +50,8 @@
     pub ledger_groups: u16,
     /// The token that operators must show.
     pub token: String,
+    /// How long records of the ledger are kept.
+    pub retention: Retention,
     /// How long a router may work after asking for its lease.
     pub lease: Duration,
     /// How often a router renews its lease.
@@ -115,6 +118,11 @@
             voters: r.number("cluster", "voters", 3, 1, 9) as usize,
             ledger_groups: r.number("cluster", "ledger_groups", 1, 1, 64) as u16,
             token: r.secret("operators", "token"),
+            retention: Retention {
+                pins: r.duration("ledger", "keep_pins", "72h", "1s", "8760h"),
+                claims: r.duration("ledger", "keep_claims", "72h", "1s", "8760h"),
+                bills: r.duration("ledger", "keep_bills", "24h", "1s", "8760h"),
+            },
             lease: r.duration("lease", "duration", "2500ms", "500ms", "3s"),
             renew: r.duration("lease", "renew", "250ms", "20ms", "1s"),
             election: r.duration("consensus", "election", "600ms", "100ms", "10s"),
@@ -140,6 +148,7 @@
         r.check_ports(&[settings.callers, settings.operators, settings.peers]);
         r.check_folder(settings.data_folder.as_deref());
         r.check_lease(settings.lease, settings.renew);
+        r.check_fail_over(settings.lease, settings.election, settings.heartbeat);
         r.finish(settings)
     }
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -12,6 +12,10 @@
 const SECRET_MIN: usize = 8;
 /// A lease must outlast this many renewals, so that one lost message costs nothing.
 const RENEWALS_PER_LEASE: u32 = 3;
+/// An election takes up to two of its shortest times to begin, and some rounds to end.
+const ELECTIONS_PER_LEASE: u32 = 3;
+/// An election must not begin because one heartbeat was late.
+const HEARTBEATS_PER_ELECTION: u32 = 3;
 
 /// Reads typed values and gathers every fault instead of stopping at the first.
 pub struct Reader {
@@ -213,6 +217,19 @@
         self.fault("lease", "duration", &text);
     }
 
+    pub fn check_fail_over(&mut self, lease: Duration, election: Duration, heartbeat: Duration) {
+        if lease < election * ELECTIONS_PER_LEASE {
+            let text = format!(
+                "must be at least {ELECTIONS_PER_LEASE} times 'election' of section [consensus], so that a leader's death costs no lease"
+            );
+            self.fault("lease", "duration", &text);
+        }
+        if election < heartbeat * HEARTBEATS_PER_ELECTION {
+            let text = format!("must be at least {HEARTBEATS_PER_ELECTION} times 'heartbeat'");
+            self.fault("consensus", "election", &text);
+        }
+    }
+
     pub fn finish(mut self, settings: Settings) -> Result<Settings, SettingsErrors> {
         self.check_unknown();
         match self.issues.is_empty() {
--- a/tests/env/fleet.rs
+++ b/tests/env/fleet.rs
@@ -2,6 +2,7 @@
 
 use super::http::{Reply, call};
 use super::process::{Process, programs};
+use super::proxy::{Fault, Proxy};
 use serde_json::{Value, json};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -22,6 +23,8 @@
     pub cheap: Vec<Vec<&'static str>>,
     /// Arguments of each engine of the better model.
     pub better: Vec<Vec<&'static str>>,
+    /// Whether a proxy stands between every two daemons, and before every server.
+    pub proxies: bool,
     /// Extra settings, such as `("lease", "duration", "1s")`.
     pub settings: Vec<(&'static str, &'static str, &'static str)>,
 }
@@ -32,6 +35,7 @@
             disks: vec![true, true, false],
             cheap: vec![vec!["--versions=cheap/v1,cheap/v2"]],
             better: vec![vec!["--versions=better/v1,better/v2"]],
+            proxies: false,
             settings: vec![("limits", "drain", "200ms"), ("rating", "sample", "1000")],
         }
     }
@@ -56,6 +60,8 @@
     pub pool: String,
     pub process: Process,
     pub address: SocketAddr,
+    /// Stands before it, where the plan asks for proxies.
+    pub proxy: Option<Proxy>,
 }
 
 #[derive(Debug)]
@@ -64,6 +70,8 @@
     pub servers: Vec<Server>,
     pub rating: SocketAddr,
     pub vms: SocketAddr,
+    /// Between daemons, by the one that connects and the one that accepts.
+    pub links: Vec<(usize, usize, Proxy)>,
     dir: PathBuf,
     others: Vec<Process>,
 }
@@ -89,7 +97,8 @@
         let (rating_process, rating) = Process::fake("rating", &[]);
         let (vms_process, vms) = Process::fake("vms", &[]);
         let others = vec![rating_process, vms_process];
-        let mut fleet = Self { daemons: Vec::new(), servers: Vec::new(), rating, vms, dir, others };
+        let (daemons, servers, links) = (Vec::new(), Vec::new(), Vec::new());
+        let mut fleet = Self { daemons, servers, rating, vms, links, dir, others };
         for arguments in &plan.cheap {
             fleet.add_server("engine", "cheap", arguments);
         }
@@ -97,23 +106,29 @@
             fleet.add_server("engine", "better", arguments);
         }
         fleet.add_server("service", "ledger", &[]);
+        if plan.proxies {
+            for server in &mut fleet.servers {
+                server.proxy = Some(Proxy::spawn(server.address).await);
+            }
+        }
         fleet.publish_vms(&[]).await;
-        fleet.spawn_daemons(plan, own_address(number));
+        fleet.spawn_daemons(plan, own_address(number)).await;
         fleet
     }
 
     pub fn add_server(&mut self, kind: &str, pool: &str, arguments: &[&str]) {
         let name = format!("{pool}-{}", self.servers.len());
         let (process, address) = Process::fake(kind, arguments);
-        self.servers.push(Server { name, pool: pool.to_owned(), process, address });
+        self.servers.push(Server { name, pool: pool.to_owned(), process, address, proxy: None });
     }
 
     /// Puts the servers on the VM list; those in `leaving` as leaving.
     pub async fn publish_vms(&self, leaving: &[&str]) {
         let entry = |server: &Server| {
+            let seen = server.proxy.as_ref().map_or(server.address, |proxy| proxy.address);
             let state = if leaving.contains(&server.name.as_str()) { "leaving" } else { "live" };
             json!({
-                "vm": server.name, "address": server.address, "data_centre": "dc-0",
+                "vm": server.name, "address": seen, "data_centre": "dc-0",
                 "pool": server.pool, "state": state,
             })
         };
@@ -122,14 +137,21 @@
         assert_eq!(reply.status, 200);
     }
 
-    fn spawn_daemons(&mut self, plan: &Plan, ip: IpAddr) {
+    async fn spawn_daemons(&mut self, plan: &Plan, ip: IpAddr) {
         let ports = free_ports(ip, plan.disks.len());
+        if plan.proxies {
+            self.spawn_links(&ports).await;
+        }
         for (i, disk) in plan.disks.iter().enumerate() {
             let name = format!("entry-{i}");
             let folder = disk.then(|| self.dir.join(&name));
             let [callers, operators, peers] = ports[i];
             let others = ports.iter().enumerate().filter(|(j, _)| *j != i);
-            let list: Vec<String> = others.map(|(_, p)| p[2].to_string()).collect();
+            let seen = |(j, p): (usize, &[SocketAddr; 3])| {
+                let link = self.links.iter().find(|link| (link.0, link.1) == (i, j));
+                link.map_or(p[2], |link| link.2.address).to_string()
+            };
+            let list: Vec<String> = others.map(seen).collect();
             let mut sections = vec![
                 ("vm", "name", name.clone()),
                 ("vm", "data_centre", format!("dc-{}", i % 3)),
@@ -161,6 +183,41 @@
         }
     }
 
+    async fn spawn_links(&mut self, ports: &[[SocketAddr; 3]]) {
+        for from in 0..ports.len() {
+            for (to, port) in ports.iter().enumerate().filter(|(to, _)| *to != from) {
+                self.links.push((from, to, Proxy::spawn(port[2]).await));
+            }
+        }
+    }
+
+    /// Brings a fault about on every connection between a daemon and the others, both ways.
+    pub fn isolate(&self, i: usize, fault: Fault) {
+        let ours = self.links.iter().filter(|(from, to, _)| *from == i || *to == i);
+        ours.for_each(|(_, _, proxy)| proxy.set(fault));
+    }
+
+    /// The daemon that leads the control group.
+    pub async fn leader(&self) -> usize {
+        let mut found = None;
+        await_until("a leader", async || {
+            for i in 0..self.daemons.len() {
+                let call = self.operate(i, "GET", "/v1/status", &Value::Null).await.json();
+                let daemons = call["daemons"].as_array().cloned().unwrap_or_default();
+                let name = &self.daemons[i].name;
+                let own = daemons.iter().find(|daemon| daemon["vm"] == name.as_str());
+                let groups = own.and_then(|own| own["groups"].as_array().cloned());
+                let leads = |view: &Value| view["group"] == "Control" && view["leading"] == true;
+                if groups.unwrap_or_default().iter().any(leads) {
+                    found = Some(i);
+                }
+            }
+            found.is_some()
+        })
+        .await;
+        found.expect("just found")
+    }
+
     /// Starts a daemon's process again after it ended.
     pub fn restart(&mut self, i: usize) {
         let daemon = &mut self.daemons[i];
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -5,6 +5,8 @@
 pub mod fleet;
 pub mod http;
 pub mod process;
+pub mod proxy;
 pub mod ticket;
 
 pub use fleet::{Fleet, Plan};
+pub use proxy::{Fault, Proxy};
