--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -9,4 +9,3 @@
 pub mod ticket;
 
 pub use fleet::{Fleet, Plan};
-pub use proxy::{Fault, Proxy};
