--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -1,3 +1,4 @@
+use super::snapshot_part::Incoming;
 use super::{
     Body, Entry, HardState, Log, MemberId, Members, Message, Output, Payload, Progress, Snapshot,
     Timing,
@@ -32,8 +33,25 @@
         peers: BTreeMap<MemberId, Progress>,
         /// Index of its first entry.
         first: u64,
-        /// Set once it has told another member to take over; its lease no longer counts.
-        yielding: bool,
+        /// How far a hand-over has come.
+        yielding: Yielding,
+    },
+}
+
+/// How far a leader's hand-over has come; it takes no proposals from the start of one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Yielding {
+    /// None was asked for.
+    No,
+    /// Waits for a voter that has everything.
+    Waiting {
+        /// When it was asked for.
+        since: Duration,
+    },
+    /// A voter was told to take over; the lease counts no longer, in this term never again.
+    Told {
+        /// When it was told.
+        since: Duration,
     },
 }
 
@@ -51,6 +69,9 @@
     TooManyChanges,
 }
 
+/// The largest part of a snapshot in one message, in bytes.
+const PART_BYTES: usize = 256 << 10;
+
 /// One member of a consensus group.
 #[derive(Debug)]
 pub struct Core {
@@ -69,6 +90,8 @@
     pub(super) heard: Option<Duration>,
     pub(super) quiet_until: Duration,
     pub(super) election_at: Duration,
+    pub(super) incoming: Option<Incoming>,
+    pub(super) part_bytes: usize,
     pub(super) output: Output,
 }
 
@@ -102,6 +125,8 @@
             heard: None,
             quiet_until: now + timing.election,
             election_at: now,
+            incoming: None,
+            part_bytes: PART_BYTES,
             output: Output::default(),
         };
         core.reset_election();
@@ -117,6 +142,11 @@
         self.become_leader();
     }
 
+    /// Sets the largest part of a snapshot in one message, in bytes; at least one.
+    pub fn limit_parts(&mut self, bytes: usize) {
+        self.part_bytes = bytes.max(1);
+    }
+
     /// This member.
     pub fn id(&self) -> MemberId {
         self.id
@@ -176,7 +206,7 @@
             self.tick_leader();
             return;
         }
-        if self.now >= self.election_at && self.members.is_voter(self.id) {
+        if self.now >= self.election_at && self.may_stand() {
             self.start_pre_vote();
         }
     }
@@ -203,7 +233,10 @@
             Body::AppendAnswer { accepted, index, sent } => {
                 self.on_append_answer(from, term, accepted, index, sent)
             }
-            Body::Install { snapshot, sent } => self.on_install(from, term, snapshot, sent),
+            Body::Install { part, sent } => self.on_install(from, term, part, sent),
+            Body::InstallAnswer { index, offset, sent } => {
+                self.on_install_answer(from, term, index, offset, sent)
+            }
             Body::HandOver => self.on_hand_over(from, term),
         }
     }
@@ -211,6 +244,12 @@
     /// What the driver must do next.
     pub fn take_output(&mut self) -> Output {
         let mut output = std::mem::take(&mut self.output);
+        if output.hard.is_some() {
+            // A term that may be forgotten by a crash must not be seen by others.
+            let late = std::mem::take(&mut output.late);
+            output.late = std::mem::take(&mut output.early);
+            output.late.extend(late);
+        }
         if self.commit > self.handed && output.install.is_none() {
             output.committed = self.log.range(self.handed + 1, self.commit).to_vec();
             self.handed = self.commit;
@@ -224,14 +263,19 @@
         self.advance_commit();
     }
 
-    /// Trims the log behind a snapshot of the applied state.
-    pub fn compact(&mut self, index: u64, data: bytes::Bytes) -> Snapshot {
+    /// The snapshot of the state after applying the entry at an index, which must be in the log.
+    pub fn snapshot_at(&self, index: u64, data: bytes::Bytes) -> Snapshot {
         let (_, members) = self.log.members_at(index);
         let members = members.clone();
         let term = self.log.term(index).expect("a snapshot is made of entries in the log");
-        let snapshot = Snapshot { index, term, members, data };
-        self.log.compact(snapshot.clone());
-        snapshot
+        Snapshot { index, term, members, data }
+    }
+
+    /// Trims the log behind a snapshot, unless it starts behind a newer one already.
+    pub fn compact(&mut self, snapshot: Snapshot) {
+        if snapshot.index > self.log.base_index() {
+            self.log.compact(snapshot);
+        }
     }
 
     pub(super) fn send(&mut self, to: MemberId, term: u64, body: Body) {
--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -5,6 +5,17 @@
 use std::collections::BTreeSet;
 
 impl Core {
+    /// Whether this member may stand for election: as a voter, and also while its own removal may
+    /// still be uncommitted, as it may be the only one whose log is complete (Ongaro, 2014,
+    /// section 4.2.2).
+    pub(super) fn may_stand(&self) -> bool {
+        if self.members.is_voter(self.id) {
+            return true;
+        }
+        self.members_index > self.commit
+            && self.log.members_at(self.members_index - 1).1.is_voter(self.id)
+    }
+
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election();
         let granted = BTreeSet::from([self.id]);
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -1,6 +1,6 @@
 //! A leader's part: proposals, lease, membership changes, hand-over.
 
-use super::core::{ProposeError, Role};
+use super::core::{ProposeError, Role, Yielding};
 use super::{Body, Core, Entry, MemberId, Members, Payload, Progress};
 use bytes::Bytes;
 use std::collections::BTreeMap;
@@ -12,7 +12,7 @@
         let start = Progress { next, ..Progress::default() };
         let peers: BTreeMap<_, _> =
             self.others().into_iter().map(|id| (id, start.clone())).collect();
-        self.role = Role::Leader { peers, first: next, yielding: false };
+        self.role = Role::Leader { peers, first: next, yielding: Yielding::No };
         // The step-down clock starts now: no answer can have come yet.
         self.heard = Some(self.now);
         self.append_payload(Payload::Empty);
@@ -23,7 +23,7 @@
     /// # Errors
     /// Where this member does not lead.
     pub fn propose(&mut self, command: Bytes) -> Result<(u64, u64), ProposeError> {
-        if !matches!(self.role, Role::Leader { yielding: false, .. }) {
+        if !matches!(self.role, Role::Leader { yielding: Yielding::No, .. }) {
             return Err(ProposeError::NotLeader);
         }
         Ok(self.append_payload(Payload::Command(command)))
@@ -35,7 +35,9 @@
     /// Where this member does not lead, an earlier change is pending, or more than one voter
     /// changes.
     pub fn change(&mut self, members: Members) -> Result<(u64, u64), ProposeError> {
-        let Role::Leader { first, .. } = &self.role else { return Err(ProposeError::NotLeader) };
+        let Role::Leader { first, yielding: Yielding::No, .. } = &self.role else {
+            return Err(ProposeError::NotLeader);
+        };
         if self.commit < *first || self.members_index > self.commit {
             return Err(ProposeError::ChangePending);
         }
@@ -48,22 +50,53 @@
         Ok(placed)
     }
 
-    /// Hands leadership to the voter whose log is furthest; false where there is none.
+    /// Hands leadership to a voter as soon as one has the whole log, and takes no more proposals.
+    /// False where this member does not lead or is the only voter.
     pub fn hand_over(&mut self) -> bool {
-        let Role::Leader { peers, .. } = &self.role else { return false };
-        let voters = peers.iter().filter(|(id, _)| self.members.is_voter(**id));
-        let Some((best, progress)) = voters.max_by_key(|(_, p)| p.matched) else { return false };
-        let (best, caught_up) = (*best, progress.matched == self.log.last_index());
-        if !caught_up {
+        let now = self.now;
+        let Role::Leader { peers, yielding, .. } = &mut self.role else { return false };
+        if !peers.keys().any(|id| self.members.is_voter(*id)) {
             return false;
         }
-        if let Role::Leader { yielding, .. } = &mut self.role {
-            *yielding = true;
+        if *yielding == Yielding::No {
+            *yielding = Yielding::Waiting { since: now };
         }
-        self.send(best, self.hard.term, Body::HandOver);
+        self.try_hand_over();
         true
     }
 
+    /// Tells a voter that has everything to take over, where a hand-over waits for one.
+    pub(super) fn try_hand_over(&mut self) {
+        let (now, last) = (self.now, self.log.last_index());
+        let Role::Leader { peers, yielding, .. } = &mut self.role else { return };
+        if !matches!(yielding, Yielding::Waiting { .. }) {
+            return;
+        }
+        let ready =
+            |(id, p): &(&MemberId, &Progress)| self.members.is_voter(**id) && p.matched == last;
+        // Of those that have everything, the one heard last is the likeliest to be alive.
+        let best = peers.iter().filter(ready).max_by_key(|(_, p)| p.acked).map(|(id, _)| *id);
+        let Some(best) = best else { return };
+        *yielding = Yielding::Told { since: now };
+        self.send(best, self.hard.term, Body::HandOver);
+    }
+
+    /// Ends a hand-over that came to nothing: one that waits is called off, one that was told ends
+    /// the leadership, as the member that was told may still start its election.
+    fn end_hand_over(&mut self) {
+        let now = self.now;
+        let Role::Leader { yielding, .. } = &mut self.role else { return };
+        match *yielding {
+            Yielding::Waiting { since } if now > since + self.timing.election => {
+                *yielding = Yielding::No;
+            }
+            Yielding::Told { since } if now > since + self.timing.election => {
+                self.become_follower(self.hard.term, None);
+            }
+            _ => {}
+        }
+    }
+
     /// Whether this member leads, has committed in its term and holds its lease at `now`.
     pub fn may_serve(&self, now: Duration) -> bool {
         match &self.role {
@@ -74,7 +107,9 @@
 
     /// Until when a quorum will elect nobody else; `None` where this member may not rely on it.
     pub fn lease_until(&self) -> Option<Duration> {
-        let Role::Leader { yielding: false, .. } = &self.role else { return None };
+        if let Role::Leader { yielding: Yielding::Told { .. }, .. } = &self.role {
+            return None;
+        }
         self.quorum_acked().map(|acked| acked + self.timing.lease())
     }
 
@@ -96,6 +131,7 @@
     }
 
     pub(super) fn tick_leader(&mut self) {
+        self.end_hand_over();
         let answered = self.quorum_acked().max(self.heard);
         if answered.is_some_and(|at| self.now > at + self.timing.election * 2) {
             self.become_follower(self.hard.term, None);
--- a/src/consensus/log.rs
+++ b/src/consensus/log.rs
@@ -5,6 +5,7 @@
 pub struct Log {
     base: Snapshot,
     entries: Vec<Entry>,
+    size: usize,
 }
 
 impl Log {
@@ -12,7 +13,13 @@
     pub fn open(snapshot: Option<Snapshot>, entries: Vec<Entry>) -> Self {
         let none =
             Snapshot { index: 0, term: 0, members: Members::default(), data: Default::default() };
-        Self { base: snapshot.unwrap_or(none), entries }
+        let size = entries.iter().map(Entry::size).sum();
+        Self { base: snapshot.unwrap_or(none), entries, size }
+    }
+
+    /// Roughly the bytes that the entries take.
+    pub fn size(&self) -> usize {
+        self.size
     }
 
     /// Index of the last entry; 0 where there is none.
@@ -72,25 +79,29 @@
     /// Adds an entry, which must be the next.
     pub fn push(&mut self, entry: Entry) {
         assert_eq!(entry.index, self.last_index() + 1, "log entries are consecutive");
+        self.size += entry.size();
         self.entries.push(entry);
     }
 
     /// Drops everything from an index on.
     pub fn truncate(&mut self, from: u64) {
         let keep = from.saturating_sub(self.base.index + 1) as usize;
+        self.size -= self.entries.iter().skip(keep).map(Entry::size).sum::<usize>();
         self.entries.truncate(keep);
     }
 
     /// Replaces the entries up to the snapshot's index by the snapshot.
     pub fn compact(&mut self, snapshot: Snapshot) {
         let drop = (snapshot.index - self.base.index) as usize;
-        self.entries.drain(..drop.min(self.entries.len()));
+        let gone = self.entries.drain(..drop.min(self.entries.len()));
+        self.size -= gone.map(|entry| entry.size()).sum::<usize>();
         self.base = snapshot;
     }
 
     /// Replaces everything by the snapshot.
     pub fn reset(&mut self, snapshot: Snapshot) {
         self.entries.clear();
+        self.size = 0;
         self.base = snapshot;
     }
 
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -1,4 +1,4 @@
-use super::{Entry, MemberId, Snapshot};
+use super::{Entry, MemberId, SnapshotPart};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -66,13 +66,22 @@
         /// The echoed time of sending.
         sent: Duration,
     },
-    /// Sends a whole snapshot to a member whose next entry is trimmed.
+    /// Sends a part of a snapshot to a member whose next entry is trimmed.
     Install {
-        /// The snapshot.
-        snapshot: Snapshot,
+        /// The part.
+        part: SnapshotPart,
         /// The leader's time of sending, echoed in the answer.
         sent: Duration,
     },
+    /// Answers a part while others are missing.
+    InstallAnswer {
+        /// The last entry that the snapshot includes.
+        index: u64,
+        /// How much of it has arrived, in bytes.
+        offset: u64,
+        /// The echoed time of sending.
+        sent: Duration,
+    },
     /// Tells a member to start an election at once.
     HandOver,
 }
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -15,13 +15,15 @@
 mod output;
 mod progress;
 mod replication;
+mod snapshot_part;
 mod timing;
 
-pub use core::{Core, ProposeError, Role};
+pub use core::{Core, ProposeError, Role, Yielding};
 pub use entry::{Entry, HardState, Payload, Snapshot};
 pub use log::Log;
 pub use member::{Member, MemberId, Members};
 pub use message::{Body, Message};
 pub use output::Output;
-pub use progress::Progress;
+pub use progress::{Installing, Progress};
+pub use snapshot_part::SnapshotPart;
 pub use timing::Timing;
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -1,3 +1,4 @@
+use super::Snapshot;
 use std::time::Duration;
 
 /// What a leader knows of one other member.
@@ -11,6 +12,17 @@
     pub acked: Option<Duration>,
     /// When something was last sent.
     pub sent: Duration,
-    /// When a snapshot was sent that is not answered yet.
-    pub installing: Option<Duration>,
+    /// The snapshot that is being sent.
+    pub installing: Option<Installing>,
+}
+
+/// A snapshot on its way to a member, one part at a time.
+#[derive(Debug, Clone)]
+pub struct Installing {
+    /// The snapshot.
+    pub snapshot: Snapshot,
+    /// Where the part in flight starts, in bytes.
+    pub offset: u64,
+    /// When that part was sent; `None` once it is answered.
+    pub at: Option<Duration>,
 }
--- a/src/consensus/replication.rs
+++ b/src/consensus/replication.rs
@@ -1,15 +1,16 @@
 //! Replication: appends, their answers, snapshots and the commit index.
 
 use super::core::Role;
-use super::{Body, Core, Entry, MemberId, Payload, Snapshot};
+use super::snapshot_part::Incoming;
+use super::{Body, Core, Entry, Installing, MemberId, Payload, Snapshot, SnapshotPart};
 use std::time::Duration;
 
 /// Entries in one message, in bytes.
 const BATCH_BYTES: usize = 1 << 20;
 /// Entries sent to a member and not yet answered.
 const WINDOW_ENTRIES: u64 = 4_096;
-/// How long an unanswered snapshot is waited for before it is sent again.
-const INSTALL_RETRY: Duration = Duration::from_secs(5);
+/// Election times after which an unanswered part of a snapshot is sent again.
+const PART_RETRY: u32 = 2;
 
 impl Core {
     /// Sends what a member lacks; with `heartbeat` also where it lacks nothing.
@@ -18,21 +19,7 @@
         let Role::Leader { peers, .. } = &mut self.role else { return };
         let Some(progress) = peers.get_mut(&to) else { return };
         if progress.next <= base {
-            let waiting = progress.installing.is_some_and(|at| now < at + INSTALL_RETRY);
-            if !waiting {
-                progress.installing = Some(now);
-                progress.sent = now;
-                let snapshot = self.log.snapshot().clone();
-                self.send(to, self.hard.term, Body::Install { snapshot, sent: now });
-                return;
-            }
-            if !heartbeat {
-                return;
-            }
-            progress.sent = now;
-            // Keeps the receiver from starting an election while the snapshot travels.
-            let body = self.append_body(base, Vec::new());
-            self.send(to, self.hard.term, body);
+            self.send_part(to, heartbeat);
             return;
         }
         let full = progress.next > progress.matched + WINDOW_ENTRIES;
@@ -50,6 +37,55 @@
         self.send(to, self.hard.term, body);
     }
 
+    /// Sends the next part of a snapshot, unless one is in flight.
+    fn send_part(&mut self, to: MemberId, heartbeat: bool) {
+        let (now, most) = (self.now, self.part_bytes);
+        let retry = self.timing.election * PART_RETRY;
+        let Role::Leader { peers, .. } = &mut self.role else { return };
+        let Some(progress) = peers.get_mut(&to) else { return };
+        let sent = progress.installing.as_ref().and_then(|installing| installing.at);
+        let waiting = sent.is_some_and(|at| now < at + retry);
+        if waiting && !heartbeat {
+            return;
+        }
+        progress.sent = now;
+        if waiting {
+            // Keeps the receiver from starting an election while a part travels.
+            let body = self.append_body(self.log.base_index(), Vec::new());
+            self.send(to, self.hard.term, body);
+            return;
+        }
+        let fresh = || Installing { snapshot: self.log.snapshot().clone(), offset: 0, at: None };
+        let installing = progress.installing.get_or_insert_with(fresh);
+        installing.at = Some(now);
+        let part = SnapshotPart::cut(&installing.snapshot, installing.offset, most);
+        self.send(to, self.hard.term, Body::Install { part, sent: now });
+    }
+
+    pub(super) fn on_install_answer(
+        &mut self,
+        from: MemberId,
+        term: u64,
+        index: u64,
+        offset: u64,
+        sent: Duration,
+    ) {
+        let Role::Leader { peers, .. } = &mut self.role else { return };
+        let Some(progress) = peers.get_mut(&from) else { return };
+        if term != self.hard.term {
+            return;
+        }
+        progress.acked = progress.acked.max(Some(sent));
+        let Some(installing) = &mut progress.installing else { return };
+        // An answer to an older sending of the part must not start a second flight.
+        if installing.snapshot.index != index || installing.at != Some(sent) {
+            return;
+        }
+        installing.offset = offset;
+        installing.at = None;
+        self.send_part(from, false);
+    }
+
     fn append_body(&self, prev_index: u64, entries: Vec<Entry>) -> Body {
         let prev_term = self.log.term(prev_index).expect("the entry before is in the log");
         Body::Append { prev_index, prev_term, entries, commit: self.commit, sent: self.now }
@@ -162,6 +198,7 @@
             progress.next = index.max(progress.matched).min(last) + 1;
         }
         self.advance_commit();
+        self.try_hand_over();
         self.send_append(from, false);
     }
 
@@ -169,20 +206,42 @@
         &mut self,
         from: MemberId,
         term: u64,
-        snapshot: Snapshot,
+        part: SnapshotPart,
         sent: Duration,
     ) {
         if !self.accept_leader(from, term, sent) {
             return;
         }
-        let index = snapshot.index;
-        if index > self.commit {
-            self.install(snapshot);
+        let index = part.index;
+        // The log may hold everything up to here, and entries behind it that a quorum counts on:
+        // then only the commit index is news.
+        let held = self.log.term(index) == Some(part.term);
+        if held {
+            self.commit = self.commit.max(index);
+        }
+        if held || index <= self.commit {
+            self.incoming = None;
+            let body = Body::AppendAnswer { accepted: true, index, sent };
+            self.send(from, self.hard.term, body);
+            return;
         }
-        let body = Body::AppendAnswer { accepted: true, index, sent };
+        let body = self.take_part(&part, sent);
         self.send(from, self.hard.term, body);
     }
 
+    fn take_part(&mut self, part: &SnapshotPart, sent: Duration) -> Body {
+        let known = self.incoming.take().filter(|incoming| incoming.fits(part));
+        let mut incoming = known.unwrap_or_else(|| Incoming::open(part));
+        let index = part.index;
+        if let Some(snapshot) = incoming.take(part) {
+            self.install(snapshot);
+            return Body::AppendAnswer { accepted: true, index, sent };
+        }
+        let offset = incoming.size();
+        self.incoming = Some(incoming);
+        Body::InstallAnswer { index, offset, sent }
+    }
+
     fn install(&mut self, snapshot: Snapshot) {
         self.commit = snapshot.index;
         self.handed = snapshot.index;
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
@@ -16,6 +17,11 @@
 /// Inputs taken into one batch, and so into one sync.
 const BATCH_INPUTS: usize = 1_024;
 
+/// The log's size from which on a snapshot is taken, in bytes, however few entries it holds.
+const SNAPSHOT_BYTES: usize = 4 << 20;
+/// A snapshot is put off while it would be more than this many times as large as the log.
+const SNAPSHOT_RATIO: usize = 4;
+
 /// A command that waits to be committed.
 struct Waiting {
     term: u64,
@@ -35,6 +41,7 @@
     applied: u64,
     snapshot_every: u64,
     led: Option<(u64, Duration)>,
+    storing: Option<JoinHandle<Result<Snapshot, StorageError>>>,
 }
 
 impl Driver {
@@ -64,6 +71,7 @@
             applied,
             snapshot_every: options.snapshot_every,
             led: None,
+            storing: None,
         }
     }
 
@@ -78,6 +86,7 @@
             batch.extend(self.inbox.try_iter().take(BATCH_INPUTS));
             for input in batch {
                 if matches!(input, Input::Stop) {
+                    self.await_snapshot();
                     return;
                 }
                 self.take(input);
@@ -130,6 +139,8 @@
 
     fn carry_out(&mut self, output: Output) {
         let writes = output.writes();
+        // Before any message leaves that lets others elect a leader.
+        self.publish_lease();
         self.post(output.early);
         if let Some(hard) = output.hard
             && let Some(store) = &mut self.store
@@ -137,6 +148,7 @@
             store.put_hard(hard);
         }
         if let Some(snapshot) = &output.install {
+            self.await_snapshot();
             restore(&self.shared, snapshot);
             self.applied = snapshot.index;
             let kept = self.store.as_mut().map(|store| store.compact(snapshot, &[]));
@@ -182,30 +194,74 @@
         let _ = waiting.answer.send(answer);
     }
 
+    /// Takes a snapshot where one is due; the disk's part is done on a thread of its own, so that
+    /// heartbeats and commits go on.
     fn compact(&mut self) {
-        if self.applied < self.core.log().base_index() + self.snapshot_every {
+        if self.storing.as_ref().is_some_and(|storing| !storing.is_finished()) {
+            return;
+        }
+        self.await_snapshot();
+        if !self.snapshot_due() {
             return;
         }
         let data = self.shared.state.read().expect("state lock").snapshot();
-        let snapshot = self.core.compact(self.applied, data);
-        let last = self.core.log().last_index();
+        let snapshot = self.core.snapshot_at(self.applied, data);
+        let Some(store) = &self.store else {
+            self.trim(snapshot);
+            return;
+        };
+        let file = store.snapshots();
+        let work = move || file.write(&snapshot).map(|()| snapshot);
+        let builder = std::thread::Builder::new().name("snapshot".to_owned());
+        self.storing = Some(builder.spawn(work).expect("a thread can be started"));
+    }
+
+    /// Whether the log is long, and not short against the snapshot that would replace it.
+    fn snapshot_due(&self) -> bool {
+        let log = self.core.log();
+        let entries = self.applied.saturating_sub(log.base_index());
+        let long = entries >= self.snapshot_every || log.size() >= SNAPSHOT_BYTES;
+        entries > 0 && long && log.size() * SNAPSHOT_RATIO >= log.snapshot().data.len()
+    }
+
+    /// Waits for the snapshot that is being stored, if any, and trims the log behind it.
+    fn await_snapshot(&mut self) {
+        let Some(storing) = self.storing.take() else { return };
+        match storing.join().expect("the snapshot's thread does not panic") {
+            Ok(snapshot) => self.trim(snapshot),
+            Err(error) => check(Some(Err(error))),
+        }
+    }
+
+    fn trim(&mut self, snapshot: Snapshot) {
+        let log = self.core.log();
+        if snapshot.index <= log.base_index() {
+            return;
+        }
+        let last = log.last_index();
         let tail = match last > snapshot.index {
-            true => self.core.log().range(snapshot.index + 1, last).to_vec(),
+            true => log.range(snapshot.index + 1, last).to_vec(),
             false => Vec::new(),
         };
-        check(self.store.as_mut().map(|store| store.compact(&snapshot, &tail)));
-        let group = self.id.to_string();
-        self.journal.record(Event::SnapshotTaken { group, index: snapshot.index });
+        check(self.store.as_mut().map(|store| store.trim(&snapshot, &tail)));
+        let (group, index) = (self.id.to_string(), snapshot.index);
+        self.core.compact(snapshot);
+        self.journal.record(Event::SnapshotTaken { group, index });
     }
 
-    fn publish(&mut self) {
+    /// Publishes until when this member may serve reads.
+    fn publish_lease(&self) {
         let now = since_start();
-        self.note_leadership(now);
         let until = match self.core.may_serve(now) && self.applied == self.core.commit() {
             true => self.core.lease_until().unwrap_or_default(),
             false => Duration::ZERO,
         };
         self.shared.serve_until.store(until.as_micros() as u64, Ordering::Release);
+    }
+
+    fn publish(&mut self) {
+        self.publish_lease();
+        self.note_leadership(since_start());
         let mut status = GroupStatus {
             term: self.core.term(),
             leader: self.core.leader(),
--- a/src/storage/error.rs
+++ b/src/storage/error.rs
@@ -23,6 +23,30 @@
         /// Where the damaged record starts, in bytes.
         offset: u64,
     },
+    /// A file that must be there is gone.
+    #[error("{path}: missing; move the data folder away, the VM then rejoins as a new member")]
+    Missing {
+        /// The file.
+        path: PathBuf,
+    },
+    /// The snapshot is gone or older than the log, so entries in between are lost here.
+    #[error(
+        "{path}: reaches entry {found} only, but the log starts behind entry {wanted}; move the data folder away, the VM then rejoins as a new member"
+    )]
+    Older {
+        /// The snapshot's file.
+        path: PathBuf,
+        /// The last entry that the snapshot includes; 0 without a snapshot.
+        found: u64,
+        /// The entry that the log starts behind.
+        wanted: u64,
+    },
+    /// An earlier write or sync failed, so what the file holds is unknown.
+    #[error("{path}: an earlier write failed")]
+    Failed {
+        /// The file.
+        path: PathBuf,
+    },
     /// The folder belongs to another VM.
     #[error("{path}: belongs to VM '{found}', not to '{wanted}'; give this VM a folder of its own")]
     WrongVm {
--- a/src/storage/folder.rs
+++ b/src/storage/folder.rs
@@ -1,3 +1,4 @@
+use super::group_store::LOG_FILE;
 use super::{GroupStore, Identity, Recovered, StorageError};
 use crate::name::VmName;
 use std::fs::{self, File};
@@ -54,9 +55,15 @@
     /// Opens the durable state of one group.
     ///
     /// # Errors
-    /// Where files cannot be read or are damaged.
+    /// Where files cannot be read, are damaged, or are gone although the VM belongs to a cluster.
     pub fn group(&self, name: &str) -> Result<(GroupStore, Recovered), StorageError> {
-        GroupStore::open(&self.path.join(name))
+        let folder = self.path.join(name);
+        let log = folder.join(LOG_FILE);
+        // An empty log under an identity that may have voted would vote anew.
+        if self.identity.cluster.is_some() && !log.exists() {
+            return Err(StorageError::Missing { path: log });
+        }
+        GroupStore::open(&folder)
     }
 }
 
--- a/src/storage/frame.rs
+++ b/src/storage/frame.rs
@@ -1,24 +1,29 @@
-//! Frames of the write-ahead log: length and CRC32C, four bytes each, then the payload.
+//! Frames of the write-ahead log. A frame holds one batch, which is written and synced at once.
+//!
+//! The header is the payload's length, the payload's CRC32C and the CRC32C of those eight bytes,
+//! four bytes each. The header's own checksum lets a scan for intact frames pass damaged bytes in
+//! time linear in their number.
 
 /// Bytes before each payload.
-pub const HEADER_BYTES: usize = 8;
-/// No record is larger than this, in bytes; a larger length is damage.
-const RECORD_LIMIT: usize = 256 << 20;
+pub const HEADER_BYTES: usize = 12;
 
 /// What stands at an offset of a log.
 pub enum Parsed<'a> {
-    /// A whole record and the offset behind it.
-    Record(&'a [u8], usize),
+    /// A whole payload and the offset behind it.
+    Payload(&'a [u8], usize),
     /// The log ends here.
     End,
-    /// The bytes are not a whole, intact record.
+    /// The bytes are not a whole, intact frame.
     Bad,
 }
 
 /// Appends a framed payload.
 pub fn write(out: &mut Vec<u8>, payload: &[u8]) {
+    let start = out.len();
     out.extend_from_slice(&(payload.len() as u32).to_le_bytes());
     out.extend_from_slice(&crc32c::crc32c(payload).to_le_bytes());
+    let check = crc32c::crc32c(&out[start..]);
+    out.extend_from_slice(&check.to_le_bytes());
     out.extend_from_slice(payload);
 }
 
@@ -28,19 +33,19 @@
         return Parsed::End;
     }
     let Some(header) = bytes.get(offset..offset + HEADER_BYTES) else { return Parsed::Bad };
-    let length = u32::from_le_bytes([header[0], header[1], header[2], header[3]]) as usize;
-    let crc = u32::from_le_bytes([header[4], header[5], header[6], header[7]]);
-    if length == 0 || length > RECORD_LIMIT {
+    let word = |at: usize| u32::from_le_bytes([0, 1, 2, 3].map(|i| header[at + i]));
+    if crc32c::crc32c(&header[..8]) != word(8) {
         return Parsed::Bad;
     }
     let start = offset + HEADER_BYTES;
-    match bytes.get(start..start + length) {
-        Some(payload) if crc32c::crc32c(payload) == crc => Parsed::Record(payload, start + length),
+    let end = start + word(0) as usize;
+    match bytes.get(start..end) {
+        Some(payload) if crc32c::crc32c(payload) == word(4) => Parsed::Payload(payload, end),
         _ => Parsed::Bad,
     }
 }
 
-/// Whether an intact record stands anywhere behind the offset: then the damage is not a torn tail.
+/// Whether an intact frame stands anywhere behind the offset: then the damage is not a torn tail.
 pub fn intact_after(bytes: &[u8], offset: usize) -> bool {
-    (offset + 1..bytes.len()).any(|at| matches!(read(bytes, at), Parsed::Record(..)))
+    (offset + 1..bytes.len()).any(|at| matches!(read(bytes, at), Parsed::Payload(..)))
 }
--- a/src/storage/group_store.rs
+++ b/src/storage/group_store.rs
@@ -1,98 +1,125 @@
-use super::StorageError;
 use super::folder::write_synced;
 use super::frame::{self, Parsed};
+use super::recovery::Replayed;
+use super::{Media, Recovered, StorageError};
 use crate::consensus::{Entry, HardState, Snapshot};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
-use std::io::Write;
 use std::path::{Path, PathBuf};
 
-const LOG_FILE: &str = "log";
+pub(super) const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
 
 /// A record of the write-ahead log.
 #[derive(Debug, Serialize, Deserialize)]
-enum Record {
+pub(super) enum Record {
+    /// The first record: the entry that the log starts behind.
+    Base { index: u64, term: u64 },
+    /// Term and vote.
     Hard(HardState),
     /// Replaces everything from its own index on.
     Entry(Entry),
 }
 
-/// What was found at open.
-#[derive(Debug, Default, PartialEq)]
-pub struct Recovered {
-    /// Term and vote.
-    pub hard: HardState,
-    /// The newest snapshot.
-    pub snapshot: Option<Snapshot>,
-    /// Entries behind the snapshot.
-    pub entries: Vec<Entry>,
-}
-
 /// Log and snapshot of one consensus group.
 #[derive(Debug)]
 pub struct GroupStore {
     folder: PathBuf,
-    file: File,
-    buffer: Vec<u8>,
+    media: Box<dyn Media>,
+    batch: Vec<u8>,
     hard: HardState,
+    failed: bool,
 }
 
 impl GroupStore {
     /// Opens or creates the group's folder and reads what it holds.
     ///
     /// # Errors
-    /// On I/O errors, and where a record before the tail is damaged.
+    /// On I/O errors, where a record before the tail is damaged, and where the snapshot is gone or
+    /// older than the log.
     pub fn open(folder: &Path) -> Result<(Self, Recovered), StorageError> {
         fs::create_dir_all(folder).map_err(|cause| StorageError::io(folder, cause))?;
-        let snapshot = read_snapshot(folder)?;
         let path = folder.join(LOG_FILE);
-        let bytes = match fs::read(&path) {
-            Ok(bytes) => bytes,
-            Err(cause) if cause.kind() == std::io::ErrorKind::NotFound => Vec::new(),
-            Err(cause) => return Err(StorageError::io(&path, cause)),
+        let snapshot = read_snapshot(folder)?;
+        let bytes = match read_whole(&path)? {
+            Some(bytes) => bytes,
+            None if snapshot.is_some() => return Err(StorageError::Missing { path }),
+            None => create(folder)?,
         };
-        let (mut recovered, end) = replay(&path, &bytes)?;
-        if let Some(snapshot) = &snapshot {
-            recovered.entries.retain(|entry| entry.index > snapshot.index);
-        }
-        recovered.snapshot = snapshot;
-        let file = open_log(&path, end)?;
+        let replayed = Replayed::read(&path, &bytes)?;
+        let media = Box::new(open_log(&path, replayed.end)?);
+        let start = replayed.start();
+        let recovered = replayed.fit(&folder.join(SNAPSHOT_FILE), snapshot)?;
         sync_folder(folder)?;
         let hard = recovered.hard;
-        let store = Self { folder: folder.to_path_buf(), file, buffer: Vec::new(), hard };
+        let folder = folder.to_path_buf();
+        let mut store = Self { folder, media, batch: Vec::new(), hard, failed: false };
+        let cut_short = recovered.snapshot.as_ref().filter(|snapshot| snapshot.index != start);
+        if let Some(snapshot) = cut_short {
+            store.trim(snapshot, &recovered.entries)?;
+        }
         Ok((store, recovered))
     }
 
+    /// Sends the log's bytes elsewhere until the next compaction, such as to a disk that fails.
+    pub fn redirect(&mut self, media: Box<dyn Media>) {
+        self.media = media;
+    }
+
     /// Adds term and vote to the next batch.
     pub fn put_hard(&mut self, hard: HardState) {
         self.hard = hard;
-        self.put(&Record::Hard(hard));
+        self.batch = put(std::mem::take(&mut self.batch), &Record::Hard(hard));
     }
 
     /// Adds entries to the next batch; the first replaces everything from its index on.
     pub fn put_entries(&mut self, entries: &[Entry]) {
         for entry in entries {
-            self.put(&Record::Entry(entry.clone()));
+            self.batch = put(std::mem::take(&mut self.batch), &Record::Entry(entry.clone()));
         }
     }
 
-    fn put(&mut self, record: &Record) {
-        let payload = postcard::to_stdvec(record).expect("records always serialise");
-        frame::write(&mut self.buffer, &payload);
-    }
-
-    /// Writes the batch and syncs it.
+    /// Writes the batch as one frame and syncs it.
     ///
     /// # Errors
-    /// Any I/O error; the caller must then end the process, as the file's state is unknown.
+    /// Any I/O error, and every later call after one: the caller must end the process, as what the
+    /// file holds is unknown.
     pub fn sync(&mut self) -> Result<(), StorageError> {
-        if self.buffer.is_empty() {
+        let path = self.folder.join(LOG_FILE);
+        if self.failed {
+            return Err(StorageError::Failed { path });
+        }
+        if self.batch.is_empty() {
             return Ok(());
         }
-        let tried = self.file.write_all(&self.buffer).and_then(|()| self.file.sync_data());
-        tried.map_err(|cause| StorageError::io(self.folder.join(LOG_FILE), cause))?;
-        self.buffer.clear();
+        let mut framed = Vec::with_capacity(self.batch.len() + frame::HEADER_BYTES);
+        frame::write(&mut framed, &self.batch);
+        self.batch.clear();
+        let tried = self.media.append(&framed).and_then(|()| self.media.sync());
+        self.failed = tried.is_err();
+        tried.map_err(|cause| StorageError::io(path, cause))
+    }
+
+    /// Where this group's snapshots go; usable on another thread.
+    pub fn snapshots(&self) -> SnapshotFile {
+        SnapshotFile { folder: self.folder.clone() }
+    }
+
+    /// Rewrites the log to start behind a snapshot that is stored already.
+    ///
+    /// # Errors
+    /// Any I/O error; the old log stays whole.
+    pub fn trim(&mut self, snapshot: &Snapshot, tail: &[Entry]) -> Result<(), StorageError> {
+        self.sync()?;
+        let Snapshot { index, term, .. } = *snapshot;
+        let head = put(Vec::new(), &Record::Base { index, term });
+        let mut batch = put(head, &Record::Hard(self.hard));
+        for entry in tail {
+            batch = put(batch, &Record::Entry(entry.clone()));
+        }
+        let framed = framed(&batch);
+        write_synced(&self.folder, LOG_FILE, &framed)?;
+        self.media = Box::new(open_log(&self.folder.join(LOG_FILE), framed.len())?);
         Ok(())
     }
 
@@ -102,71 +129,67 @@
     /// Any I/O error; the old files stay whole.
     pub fn compact(&mut self, snapshot: &Snapshot, tail: &[Entry]) -> Result<(), StorageError> {
         self.sync()?;
-        let mut framed = Vec::new();
+        self.snapshots().write(snapshot)?;
+        self.trim(snapshot, tail)
+    }
+}
+
+/// The snapshot file of one group.
+#[derive(Debug)]
+pub struct SnapshotFile {
+    folder: PathBuf,
+}
+
+impl SnapshotFile {
+    /// Replaces the stored snapshot; after a crash the old or the new one stands, whole.
+    ///
+    /// # Errors
+    /// Any I/O error.
+    pub fn write(&self, snapshot: &Snapshot) -> Result<(), StorageError> {
         let payload = postcard::to_stdvec(snapshot).expect("snapshots always serialise");
-        frame::write(&mut framed, &payload);
-        write_synced(&self.folder, SNAPSHOT_FILE, &framed)?;
-        self.put_hard(self.hard);
-        self.put_entries(tail);
-        let bytes = std::mem::take(&mut self.buffer);
-        write_synced(&self.folder, LOG_FILE, &bytes)?;
-        self.file = open_log(&self.folder.join(LOG_FILE), bytes.len())?;
-        Ok(())
+        write_synced(&self.folder, SNAPSHOT_FILE, &framed(&payload))
     }
 }
 
+fn put(batch: Vec<u8>, record: &Record) -> Vec<u8> {
+    postcard::to_extend(record, batch).expect("records always serialise")
+}
+
+fn framed(payload: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(payload.len() + frame::HEADER_BYTES);
+    frame::write(&mut out, payload);
+    out
+}
+
+/// Puts a log without entries in place, whole.
+fn create(folder: &Path) -> Result<Vec<u8>, StorageError> {
+    let head = put(Vec::new(), &Record::Base { index: 0, term: 0 });
+    let bytes = framed(&head);
+    write_synced(folder, LOG_FILE, &bytes)?;
+    Ok(bytes)
+}
+
 fn read_snapshot(folder: &Path) -> Result<Option<Snapshot>, StorageError> {
     let path = folder.join(SNAPSHOT_FILE);
-    let bytes = match fs::read(&path) {
-        Ok(bytes) => bytes,
-        Err(cause) if cause.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-        Err(cause) => return Err(StorageError::io(&path, cause)),
-    };
-    let Parsed::Record(payload, _) = frame::read(&bytes, 0) else {
+    let Some(bytes) = read_whole(&path)? else { return Ok(None) };
+    let Parsed::Payload(payload, _) = frame::read(&bytes, 0) else {
         return Err(StorageError::Damaged { path, offset: 0 });
     };
     let parsed = postcard::from_bytes(payload);
     parsed.map(Some).map_err(|_| StorageError::Damaged { path, offset: 0 })
 }
 
-fn replay(path: &Path, bytes: &[u8]) -> Result<(Recovered, usize), StorageError> {
-    let mut recovered = Recovered::default();
-    let mut offset = 0;
-    loop {
-        let payload = match frame::read(bytes, offset) {
-            Parsed::Record(payload, next) => {
-                offset = next;
-                payload
-            }
-            Parsed::End => return Ok((recovered, offset)),
-            Parsed::Bad if frame::intact_after(bytes, offset) => {
-                let path = path.to_path_buf();
-                return Err(StorageError::Damaged { path, offset: offset as u64 });
-            }
-            Parsed::Bad => return Ok((recovered, offset)),
-        };
-        let record = postcard::from_bytes(payload);
-        let damaged = |_| StorageError::Damaged { path: path.to_path_buf(), offset: offset as u64 };
-        match record.map_err(damaged)? {
-            Record::Hard(hard) => recovered.hard = hard,
-            Record::Entry(entry) => {
-                let keep = recovered.entries.partition_point(|old: &Entry| old.index < entry.index);
-                recovered.entries.truncate(keep);
-                recovered.entries.push(entry);
-            }
-        }
+fn read_whole(path: &Path) -> Result<Option<Vec<u8>>, StorageError> {
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(cause) if cause.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        Err(cause) => Err(StorageError::io(path, cause)),
     }
 }
 
 fn open_log(path: &Path, end: usize) -> Result<File, StorageError> {
     let wrap = |cause| StorageError::io(path, cause);
-    let mut file = OpenOptions::new()
-        .create(true)
-        .read(true)
-        .write(true)
-        .truncate(false)
-        .open(path)
-        .map_err(wrap)?;
+    let mut file = OpenOptions::new().write(true).open(path).map_err(wrap)?;
     file.set_len(end as u64).map_err(wrap)?;
     file.sync_all().map_err(wrap)?;
     std::io::Seek::seek(&mut file, std::io::SeekFrom::End(0)).map_err(wrap)?;
--- /dev/null
+++ b/src/storage/media.rs
@@ -0,0 +1,28 @@
+use std::fmt::Debug;
+use std::fs::File;
+use std::io::{self, Write};
+
+/// Where a log's bytes go.
+pub trait Media: Debug + Send {
+    /// Appends bytes; they may be lost in a crash until [`Media::sync`] has returned.
+    ///
+    /// # Errors
+    /// What the operating system reports, such as a full disk.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes everything appended last.
+    ///
+    /// # Errors
+    /// What the operating system reports; what was appended is then in an unknown state.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+impl Media for File {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -8,8 +8,12 @@
 mod frame;
 mod group_store;
 mod identity;
+mod media;
+mod recovery;
 
 pub use error::StorageError;
 pub use folder::DataFolder;
-pub use group_store::{GroupStore, Recovered};
+pub use group_store::{GroupStore, SnapshotFile};
 pub use identity::Identity;
+pub use media::Media;
+pub use recovery::Recovered;
