Pass a truncated or foreign answer off as whole in no case

Cause: the stream parser dropped content events behind a usage event, knew only '\n\n', searched each partial event again from its start, took text that looked like usage for usage and counted a role as a token, so that a resumed stream would have lost one. A whole answer without usage failed. Streams never gave their connection back. A stream whose first token never came was bound by nothing but the deadline of its head.

Ruled out: a full JSON value for each event (allocates for content nobody reads); a limit for the head of whole answers (it comes last, so that slow and silent look alike): these use a fresh connection, and kernel timers find a lost one.

Change: typed parse of the four fields that matter; finish reason and usage are held until the bill is committed; limits.first_token (new, 10 s); connections go back after streams; retries use fresh ones and may come back to tried servers; an engine's Retry-After reaches the caller when all are busy.

--- a/src/backend/connections.rs
+++ b/src/backend/connections.rs
@@ -5,6 +5,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -18,6 +19,11 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// How long a small query of the daemon's own may take.
 const GET_LIMIT: Duration = Duration::from_secs(2);
+/// How long a backend server's TCP may leave bytes or probes unacknowledged: a connection that
+/// something in between has lost track of is found by this, whatever the engine is doing.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// How long a connection may be quiet before it is probed, and how often.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// The pool is divided into this many shards, each under its own lock.
 const SHARDS: usize = 16;
 
@@ -44,12 +50,17 @@
 /// Connections to backend servers.
 pub struct Connections {
     connect: Duration,
+    pool: Arc<Pool>,
+}
+
+/// Idle connections by address, in shards that each have their own lock.
+struct Pool {
     shards: Vec<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
 }
 
 /// A connection in use; it goes back only through [`Lent::give_back`].
-pub struct Lent<'a> {
-    owner: &'a Connections,
+pub struct Lent {
+    owner: Arc<Pool>,
     address: SocketAddr,
     sender: Sender,
     guard: Arc<Guard>,
@@ -59,17 +70,17 @@
     /// Opens an empty pool; `connect` bounds how long a new connection may take.
     pub fn open(connect: Duration) -> Self {
         let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
-        Self { connect, shards }
+        Self { connect, pool: Arc::new(Pool { shards }) }
     }
 
     /// Takes a connection, an idle one unless `fresh`.
     ///
     /// # Errors
     /// [`SendError::NotSent`] where none can be opened.
-    pub async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Lent<'_>, SendError> {
-        if !fresh && let Some((sender, guard)) = self.idle(address) {
+    pub async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Lent, SendError> {
+        if !fresh && let Some((sender, guard)) = self.pool.idle(address) {
             guard.begin(None);
-            return Ok(Lent { owner: self, address, sender, guard });
+            return Ok(Lent { owner: self.pool.clone(), address, sender, guard });
         }
         let dial = TcpStream::connect(address);
         let stream = match tokio::time::timeout(self.connect, dial).await {
@@ -78,7 +89,7 @@
             Err(_) => return Err(SendError::NotSent("connecting took too long".to_owned())),
         };
         let not_sent = |cause: String| SendError::NotSent(cause);
-        stream.set_nodelay(true).map_err(|cause| not_sent(cause.to_string()))?;
+        set_up(&stream).map_err(|cause| not_sent(cause.to_string()))?;
         let guard = Arc::new(Guard::default());
         let stream = GuardedStream::open(stream, guard.clone());
         let opened = handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
@@ -87,7 +98,7 @@
             // The exchange in progress reports the error to its caller.
             let _ = connection.await;
         });
-        Ok(Lent { owner: self, address, sender, guard })
+        Ok(Lent { owner: self.pool.clone(), address, sender, guard })
     }
 
     /// Fetches a small document; `None` where it cannot be had.
@@ -116,7 +127,9 @@
         lent.give_back();
         Some(body)
     }
+}
 
+impl Pool {
     fn shard(&self, address: SocketAddr) -> &Mutex<HashMap<SocketAddr, Vec<Idle>>> {
         &self.shards[address.port() as usize % SHARDS]
     }
@@ -133,7 +146,7 @@
     }
 }
 
-impl Lent<'_> {
+impl Lent {
     /// Has a permit asked around every write of the exchange that follows.
     pub fn guard(&self, permit: Arc<dyn Permit>) {
         self.guard.begin(Some(permit));
@@ -167,3 +180,11 @@
         }
     }
 }
+
+fn set_up(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))
+}
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -2,12 +2,16 @@
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::Full;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
 /// The header that carries a request's identity to backend servers and back.
 pub const REQUEST_HEADER: &str = "x-request-id";
 
+/// Bytes of text to one token, about what English prose has.
+const BYTES_PER_TOKEN: u64 = 4;
+
 /// Tokens that an engine counted for one answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -54,11 +58,50 @@
     }
 }
 
-/// The usage that a whole answer or a last event reports.
-pub fn usage_of(json: &[u8]) -> Option<Usage> {
-    #[derive(Deserialize)]
-    struct Reported {
-        usage: Option<Usage>,
+/// What the router reads of a whole answer.
+#[derive(Debug, Deserialize)]
+pub struct WholeAnswer {
+    choices: Vec<WholeChoice>,
+    usage: Option<Usage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WholeChoice {
+    #[serde(rename = "message")]
+    _message: IgnoredAny,
+}
+
+impl WholeAnswer {
+    /// Reads a body; `None` where it is no whole chat completion.
+    ///
+    /// ```
+    /// use samphireshift::backend::WholeAnswer;
+    /// assert!(WholeAnswer::read(br#"{"choices":[{"message":{}}]}"#).is_some());
+    /// assert!(WholeAnswer::read(br#"{"choices":[{"mess"#).is_none());
+    /// ```
+    pub fn read(json: &[u8]) -> Option<Self> {
+        let answer = serde_json::from_slice::<Self>(json).ok()?;
+        (!answer.choices.is_empty()).then_some(answer)
+    }
+
+    /// The usage that the engine reported.
+    pub fn usage(&self) -> Option<Usage> {
+        self.usage
+    }
+}
+
+/// A rough count of the tokens in a caller's body or in an answer, for engines that report none.
+pub fn estimate_tokens(body: &Map<String, Value>) -> u64 {
+    let messages = body.get("messages").or_else(|| body.get("choices"));
+    let bytes = messages.map_or(0, text_bytes);
+    bytes.div_ceil(BYTES_PER_TOKEN)
+}
+
+fn text_bytes(value: &Value) -> u64 {
+    match value {
+        Value::String(text) => text.len() as u64,
+        Value::Array(list) => list.iter().map(text_bytes).sum(),
+        Value::Object(fields) => fields.values().map(text_bytes).sum(),
+        _ => 0,
     }
-    serde_json::from_slice::<Reported>(json).ok()?.usage
 }
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -1,5 +1,6 @@
 //! Calls to engines, plain services and the rating service.
 
+mod chunk;
 mod connections;
 mod engine;
 mod event_stream;
@@ -7,9 +8,9 @@
 mod load;
 mod rating;
 
-pub use connections::{Connections, SendError};
-pub use engine::{EngineCall, Usage, usage_of};
-pub use event_stream::EventStream;
+pub use connections::{Connections, Lent, SendError};
+pub use engine::{EngineCall, Usage, WholeAnswer, estimate_tokens};
+pub use event_stream::{Cut, EventStream, StreamError};
 pub use guard::{Guard, GuardedStream, Permit};
 pub use load::{LoadReport, LoadTable};
 pub use rating::{Rating, rate};
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -2,18 +2,23 @@
 use super::refusal::refuse;
 use super::request::Meta;
 use super::{Place, Refusal, RefusalCode, Router, ServerCall, Unsent, Work, WorkPermit};
-use crate::backend::{EngineCall, SendError};
+use crate::backend::{EngineCall, Lent, SendError};
 use crate::control::VersionState;
 use crate::event::Event;
 use crate::name::{OrganisationName, PoolName, VersionKey, VmName};
 use crate::platform::Vm;
 use crate::policy::PrefixKeys;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
-use std::time::Instant;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// The header that carries a request's identity back.
 const REQUEST_HEADER: &str = "x-request-id";
+/// How long to wait before servers that were tried are tried again.
+const RETURN_PAUSE: Duration = Duration::from_millis(50);
+/// The longest wait that an engine's `Retry-After` may ask callers for.
+const RETRY_LIMIT: Duration = Duration::from_secs(60);
 /// Attempts of one request, the first included.
 const ATTEMPTS: u32 = 4;
 
@@ -22,6 +27,9 @@
     pub response: Response<Incoming>,
     pub server: VmName,
     pub call: ServerCall,
+    pub lent: Lent,
+    /// When the first token must have come.
+    pub first: Instant,
 }
 
 /// The attempts of one request, all on the same version.
@@ -33,12 +41,22 @@
     pub prefix: PrefixKeys,
     pub cost: f64,
     pub place: Option<Place>,
+    /// What the last server that was too busy asked for.
+    busy: Option<Duration>,
 }
 
 impl Attempts {
     pub fn new(meta: &Meta, prefix: PrefixKeys, cost: f64) -> Self {
-        let (organisation, deadline) = (meta.organisation.clone(), meta.deadline);
-        Self { organisation, deadline, tried: Vec::new(), count: 0, prefix, cost, place: None }
+        Self {
+            organisation: meta.organisation.clone(),
+            deadline: meta.deadline.into(),
+            tried: Vec::new(),
+            count: 0,
+            prefix,
+            cost,
+            place: None,
+            busy: None,
+        }
     }
 
     /// Tries servers until one answers with a head of status 200. `unsent` is the proof that no
@@ -55,22 +73,24 @@
                 return Err(self.give_up(unsent.as_ref()));
             }
             self.enter(router, &pool, unsent.as_ref()).await?;
-            let picked = router.pick(&pool, Some(&call.version), &self.tried, &self.prefix);
-            let Some(vm) = picked else { return Err(no_server(unsent.as_ref())) };
+            let picked = self.pick(router, &pool, &call.version).await;
+            let Some(vm) = picked else { return Err(self.no_server(unsent.as_ref())) };
             self.count += 1;
             self.tried.push(vm.vm.clone());
             let (request, server, attempt) = (call.request, vm.vm.clone(), self.count);
             router.journal.record(Event::AttemptStarted { request, server, attempt });
             let under_way = router.servers.begin(&vm.vm);
             let reason = match self.exchange(router, call, &vm, unsent).await {
-                Ok(response) => {
+                Ok(Exchanged { response, lent, first }) => {
                     under_way.answered();
                     under_way.holds(&self.prefix);
-                    return Ok(Opened { response, server: vm.vm, call: under_way });
+                    let (server, call) = (vm.vm, under_way);
+                    return Ok(Opened { response, server, call, lent, first });
                 }
                 Err(Failed::Final(refusal)) => return Err(refusal),
-                Err(Failed::Busy(reason)) => {
+                Err(Failed::Busy(reason, retry)) => {
                     under_way.overloaded();
+                    self.busy = Some(retry);
                     reason
                 }
                 Err(Failed::Again(reason)) => {
@@ -93,7 +113,8 @@
             return Ok(());
         }
         let Some(unsent) = unsent else { return Ok(()) };
-        let entered = router.enter(pool, &self.organisation, self.cost, self.deadline, unsent);
+        let deadline = self.deadline.into_std();
+        let entered = router.enter(pool, &self.organisation, self.cost, deadline, unsent);
         self.place = Some(entered.await?);
         Ok(())
     }
@@ -118,20 +139,24 @@
         call: &EngineCall,
         vm: &Vm,
         unsent: &mut Option<Unsent>,
-    ) -> Result<Response<Incoming>, Failed> {
+    ) -> Result<Exchanged, Failed> {
         let again = |error: SendError| Failed::Again(error.to_string());
-        let mut lent = router.connections.take(vm.address, false).await.map_err(again)?;
+        // A pooled connection may have gone silent. A whole answer's head says nothing until all of
+        // it is there, so that this would be found late; and no retry is to meet it again.
+        let fresh = !call.stream || self.count > 1;
+        let mut lent = router.connections.take(vm.address, fresh).await.map_err(again)?;
         // The last step before the first byte: the lease, the version's state and the server may
         // have changed while the connection was opened.
         self.admit(router, &call.version, unsent.as_ref()).map_err(Failed::Final)?;
         if !router.vms.may_use(&vm.vm) {
-            return Err(Failed::Busy("the server is leaving".to_owned()));
+            return Err(Failed::Again("the server is leaving".to_owned()));
         }
         let work = Work::Version(call.version.clone());
         let lease = router.lease.clone();
         lent.guard(WorkPermit::open(lease, self.organisation.clone(), work));
         let proof = unsent.take();
-        let sent = tokio::time::timeout_at(self.deadline.into(), lent.send(call.to_http())).await;
+        let first = self.first_limit(router, call.stream);
+        let sent = tokio::time::timeout_at(first, lent.send(call.to_http())).await;
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent(reason))) => {
@@ -139,6 +164,9 @@
                 return Err(Failed::Again(reason));
             }
             Ok(Err(SendError::MaybeSent(reason))) => return Err(Failed::Again(reason)),
+            Err(_) if Instant::now() < self.deadline => {
+                return Err(Failed::Again("no answer within the limit".to_owned()));
+            }
             Err(_) => {
                 let text = "the deadline passed before the backend server answered";
                 return Err(Failed::Final(Refusal::unknown(RefusalCode::DeadlinePassed, text)));
@@ -148,7 +176,29 @@
             router.note(&self.organisation, &call.kind, &call.version, Seen::Failed);
         }
         check_head(call, &response)?;
-        Ok(response)
+        Ok(Exchanged { response, lent, first })
+    }
+
+    /// When an attempt that begins now must have brought its first token. A stream may be tried
+    /// again while half of the time is left; a whole answer gets all of it.
+    fn first_limit(&self, router: &Router, stream: bool) -> Instant {
+        if !stream {
+            return self.deadline;
+        }
+        let now = Instant::now();
+        let share = self.deadline.saturating_duration_since(now) / 2;
+        now + router.first_token.min(share)
+    }
+
+    /// Picks a server, one that was not tried if there is any.
+    async fn pick(&mut self, router: &Router, pool: &PoolName, version: &VersionKey) -> Option<Vm> {
+        let picked = router.pick(pool, Some(version), &self.tried, &self.prefix);
+        if picked.is_some() || self.tried.is_empty() {
+            return picked;
+        }
+        self.tried.clear();
+        tokio::time::sleep(RETURN_PAUSE).await;
+        router.pick(pool, Some(version), &self.tried, &self.prefix)
     }
 
     /// Whether the version may be given work now; its pool.
@@ -177,12 +227,24 @@
     }
 
     fn give_up(&self, unsent: Option<&Unsent>) -> Refusal {
-        let late = Instant::now() >= self.deadline;
-        let (code, text) = match late {
-            true => (RefusalCode::DeadlinePassed, "the deadline passed"),
-            false => (RefusalCode::BackendFailed, "every backend server that was tried failed"),
+        if Instant::now() >= self.deadline {
+            return refuse(RefusalCode::DeadlinePassed, "the deadline passed", unsent);
+        }
+        if self.busy.is_some() {
+            return self.no_server(unsent);
+        }
+        let text = "every backend server that was tried failed";
+        refuse(RefusalCode::BackendFailed, text, unsent)
+    }
+
+    fn no_server(&self, unsent: Option<&Unsent>) -> Refusal {
+        let Some(retry) = self.busy else {
+            let text = "no backend server can take the request now";
+            return refuse(RefusalCode::NoServer, text, unsent);
         };
-        refuse(code, text, unsent)
+        let text = "every backend server that was tried has too much to do";
+        let refusal = refuse(RefusalCode::Overloaded, text, unsent);
+        Refusal { retry: Some(retry), ..refusal }
     }
 }
 
@@ -191,14 +253,23 @@
     /// The server failed; another may do.
     Again(String),
     /// The server has too much to do; another may have less.
-    Busy(String),
+    Busy(String, Duration),
     /// No other server would do better.
     Final(Refusal),
 }
 
-fn no_server(unsent: Option<&Unsent>) -> Refusal {
-    let text = "no backend server can take the request now";
-    refuse(RefusalCode::NoServer, text, unsent)
+/// An exchange whose head has come.
+struct Exchanged {
+    response: Response<Incoming>,
+    lent: Lent,
+    first: Instant,
+}
+
+/// When a busy server wants to be asked again.
+fn retry_after(response: &Response<Incoming>) -> Duration {
+    let value = response.headers().get(header::RETRY_AFTER).and_then(|value| value.to_str().ok());
+    let seconds = value.and_then(|text| text.trim().parse().ok()).map(Duration::from_secs);
+    seconds.unwrap_or(Duration::from_secs(1)).min(RETRY_LIMIT)
 }
 
 /// Whether a status speaks against the version, rather than for a server with too much to do.
@@ -216,7 +287,7 @@
         return Ok(());
     }
     if matches!(status.as_u16(), 429 | 503) {
-        return Err(Failed::Busy(format!("status {status}")));
+        return Err(Failed::Busy(format!("status {status}"), retry_after(response)));
     }
     if status.is_client_error() {
         let text = format!("the engine refused the request with status {status}");
--- a/src/route/chat.rs
+++ b/src/route/chat.rs
@@ -6,14 +6,16 @@
 use super::relay::Relay;
 use super::request::{ChatRequest, Meta};
 use super::{Answer, Ran, Refusal, RefusalCode, Router, Unsent};
-use crate::backend::{EngineCall, Usage, usage_of};
+use crate::backend::{EngineCall, Usage, WholeAnswer, estimate_tokens};
 use crate::control::{Config, VersionState};
 use crate::event::Event;
 use crate::ledger::Bill;
 use crate::name::{OrganisationName, TaskKind, VersionKey};
 use crate::policy::{Choice, ChooseError, Draw, PrefixKeys};
 use bytes::Bytes;
+use http::Response;
 use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -135,9 +137,11 @@
         let began = Instant::now();
         loop {
             let opened = attempts.open(self, call, unsent).await?;
+            let Opened { response, server, call: under_way, lent, .. } = opened;
             let note = |seen| self.note(&meta.organisation, &meta.kind, &call.version, seen);
-            let reason = match read_whole(opened, attempts.deadline).await {
+            let reason = match read_whole(response, call, attempts.deadline).await {
                 Ok((body, usage)) => {
+                    lent.give_back();
                     note(Seen::Whole(usage, began.elapsed()));
                     return Ok((body, usage));
                 }
@@ -147,7 +151,7 @@
                     "the answer was malformed".to_owned()
                 }
             };
-            let server = attempts.tried.last().cloned().expect("an attempt was made");
+            under_way.failed(&reason);
             self.journal.record(Event::AttemptFailed { request: call.request, server, reason });
         }
     }
@@ -197,14 +201,25 @@
         Ok(())
     }
 
+    /// Whether an answer is among those that are to be rated.
+    pub(super) fn is_sampled(&self, meta: &Meta, version: &VersionKey) -> bool {
+        const THOUSAND: u64 = 1_000;
+        let Some(config) = self.lease.config().filter(|_| self.rating.is_some()) else {
+            return false;
+        };
+        let share = self.learner.sample(&config, meta, version);
+        rand::random_range(0..THOUSAND) < share && self.learner.health.millis().is_some()
+    }
+
     /// Has a sample of the answers rated, after they went out.
     pub(super) fn rate_later(self: &Arc<Self>, meta: &Meta, call: &EngineCall, answer: &Bytes) {
-        const THOUSAND: u64 = 1_000;
-        let Some(config) = self.lease.config().filter(|_| self.rating.is_some()) else { return };
-        let share = self.learner.sample(&config, meta, &call.version);
-        if rand::random_range(0..THOUSAND) >= share || self.learner.health.millis().is_none() {
-            return;
+        if self.is_sampled(meta, &call.version) {
+            self.rate_sampled(meta, call, answer);
         }
+    }
+
+    /// Has an answer of the sample rated, after it went out.
+    pub(super) fn rate_sampled(self: &Arc<Self>, meta: &Meta, call: &EngineCall, answer: &Bytes) {
         let Ok(permit) = self.ratings.clone().try_acquire_owned() else { return };
         let rating = rating_of(meta, call, answer);
         let (router, meta) = (self.clone(), meta.clone());
@@ -223,14 +238,27 @@
     Malformed,
 }
 
-async fn read_whole(opened: Opened, deadline: Instant) -> Result<(Bytes, Usage), Spoilt> {
-    let body = Limited::new(opened.response.into_body(), ANSWER_BYTES).collect();
-    let read = tokio::time::timeout_at(deadline.into(), body).await;
+async fn read_whole(
+    response: Response<Incoming>,
+    call: &EngineCall,
+    deadline: tokio::time::Instant,
+) -> Result<(Bytes, Usage), Spoilt> {
+    let body = Limited::new(response.into_body(), ANSWER_BYTES).collect();
+    let read = tokio::time::timeout_at(deadline, body).await;
     let body = read.map_err(|_| Spoilt::Broken)?.map_err(|_| Spoilt::Broken)?.to_bytes();
-    let usage = usage_of(&body).ok_or(Spoilt::Malformed)?;
+    let answer = WholeAnswer::read(&body).ok_or(Spoilt::Malformed)?;
+    let usage = answer.usage().unwrap_or_else(|| estimated(call, &body));
     Ok((body, usage))
 }
 
+fn estimated(call: &EngineCall, body: &Bytes) -> Usage {
+    let answer = serde_json::from_slice(body).unwrap_or_default();
+    Usage {
+        prompt_tokens: estimate_tokens(&call.body),
+        completion_tokens: estimate_tokens(&answer),
+    }
+}
+
 fn check_pinned(config: &Config, version: VersionKey, unsent: &Unsent) -> Result<Choice, Refusal> {
     match config.versions.get(&version).map(|v| v.state) {
         Some(VersionState::Open | VersionState::Closing) => {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -48,10 +48,14 @@
     pub learner: Arc<Learner>,
     /// Ratings that may be waited for at once.
     pub ratings: Arc<Semaphore>,
+    /// The longest wait for a stream's first token.
+    pub first_token: Duration,
     /// The longest silence between two tokens.
     pub token_gap: Duration,
     /// The deadline of a request that names none.
     pub deadline: Duration,
+    /// How long a caller may take to send a request's body.
+    pub receive: Duration,
     /// The largest request body, in bytes.
     pub body_limit: usize,
     /// Set while the daemon stops.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -76,12 +76,16 @@
     pub body_limit: usize,
     /// The deadline of a request that names none.
     pub deadline: Duration,
+    /// The longest wait for the first token of a stream.
+    pub first_token: Duration,
     /// The longest silence between two tokens of a stream.
     pub token_gap: Duration,
     /// The longest wait for a connection to a backend server.
     pub connect: Duration,
     /// How a backend server is picked for a request.
     pub balance: Balance,
+    /// How long a caller may take to send a request's head, and then its body.
+    pub receive: Duration,
     /// How long an idle connection of a caller is kept.
     pub idle: Duration,
     /// How long a stopping daemon goes on serving so that the balancer can look away.
@@ -139,9 +143,11 @@
             },
             body_limit: r.size("limits", "body", "1MiB", "1KiB", "64MiB"),
             deadline: r.duration("limits", "deadline", "60s", "100ms", "1h"),
+            first_token: r.duration("limits", "first_token", "10s", "50ms", "10m"),
             token_gap: r.duration("limits", "token_gap", "5s", "50ms", "5m"),
             connect: r.duration("limits", "connect", "500ms", "10ms", "30s"),
             balance: r.balance("routing", "balance"),
+            receive: r.duration("limits", "receive", "10s", "100ms", "5m"),
             idle: r.duration("limits", "idle", "60s", "1s", "1h"),
             drain: r.duration("limits", "drain", "2s", "0ms", "5m"),
         };
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -6,6 +6,8 @@
 pub mod http;
 pub mod process;
 pub mod proxy;
+pub mod raw;
+pub mod scripted;
 pub mod ticket;
 
 pub use fleet::{Fleet, Plan};
