Refuse bad callers clearly and notice those that leave

Cause: xitca-web reads nothing while a request is served, so a caller that left before the first token was not noticed; a refusal could be lost to a reset while the body was still being sent; service paths were passed on with dot segments and encoded separators; a header given twice took its first value.

--- a/src/caller/body.rs
+++ b/src/caller/body.rs
@@ -1,5 +1,6 @@
 use crate::route::StreamItem;
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -10,13 +11,14 @@
 /// would be taken for the `Content-Length`.
 pub struct StreamedBody {
     input: mpsc::Receiver<StreamItem>,
+    gone: BoxFuture<'static, ()>,
     broken: bool,
 }
 
 impl StreamedBody {
-    /// Wraps the caller's end of a relay.
-    pub fn new(input: mpsc::Receiver<StreamItem>) -> Self {
-        Self { input, broken: false }
+    /// Wraps the caller's end of a relay; `gone` ends when the caller has left.
+    pub fn new(input: mpsc::Receiver<StreamItem>, gone: BoxFuture<'static, ()>) -> Self {
+        Self { input, gone, broken: false }
     }
 }
 
@@ -33,7 +35,13 @@
             return Poll::Ready(Some(Err(error)));
         }
         match self.input.poll_recv(cx) {
-            Poll::Pending => Poll::Pending,
+            Poll::Pending => match self.gone.as_mut().poll(cx) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(()) => {
+                    let error = io::Error::other("the caller has left");
+                    Poll::Ready(Some(Err(error)))
+                }
+            },
             Poll::Ready(None) => Poll::Ready(None),
             Poll::Ready(Some(StreamItem::Events(bytes))) => {
                 Poll::Ready(Some(Ok(Frame::Data(bytes))))
--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -1,4 +1,6 @@
+use super::presence::Presence;
 use super::{read, respond};
+use crate::event::Event;
 use crate::name::RequestId;
 use crate::route::{Answer, Refusal, RefusalCode, Router, Unsent};
 use http::{HeaderMap, Method};
@@ -7,16 +9,15 @@
 use std::time::{Duration, Instant};
 use xitca_http::HttpServiceBuilder;
 use xitca_http::config::HttpServiceConfig;
+use xitca_io::net::Stream;
 use xitca_server::ServerFuture;
 use xitca_web::body::RequestBody;
 use xitca_web::http::WebResponse;
-use xitca_web::service::{ServiceExt, fn_service};
+use xitca_web::service::{Service, ServiceExt, fn_service};
 use xitca_web::{App, WebContext};
 
 /// Threads that serve callers.
 const WORKERS: usize = 2;
-/// How long a caller may take to send the head of a request.
-const HEAD_LIMIT: Duration = Duration::from_secs(5);
 /// The largest head of a request, in bytes.
 const HEAD_BYTES: usize = 64 << 10;
 /// How long a stopping front waits for its connections, in seconds; each ends by itself when its
@@ -28,11 +29,20 @@
 /// kept for `idle`.
 pub fn serve(router: Arc<Router>, listener: TcpListener, idle: Duration) -> ServerFuture {
     let config = HttpServiceConfig::new()
-        .request_head_timeout(HEAD_LIMIT)
+        .request_head_timeout(router.receive)
         .keep_alive_timeout(idle)
         .max_read_buf_size::<HEAD_BYTES>();
-    let app = App::new().with_state(router).at("/{*}", fn_service(handle)).finish();
-    let service = Arc::new(app).enclosed(HttpServiceBuilder::with_config(config));
+    let presence = Presence::open();
+    let front = Front { router, presence: presence.clone() };
+    let app = App::new().with_state(front).at("/{*}", fn_service(handle)).finish();
+    let http = Arc::new(app).enclosed(HttpServiceBuilder::with_config(config));
+    let service = http.enclosed_fn(async move |http, stream: Stream| {
+        let _present = match &stream {
+            Stream::Tcp(stream, address) => presence.enter(*address, stream).ok(),
+            _ => None,
+        };
+        http.call(stream).await
+    });
     xitca_server::Builder::new()
         .disable_signal()
         .worker_threads(WORKERS)
@@ -41,24 +51,39 @@
         .build()
 }
 
-async fn handle(
-    mut ctx: WebContext<'_, Arc<Router>>,
-) -> Result<WebResponse, xitca_web::error::Error> {
-    let router = ctx.state().clone();
-    let request = ctx.take_request();
-    let (parts, body) = request.into_parts();
-    let (_, body) = body.replace_body(());
+/// What serving callers needs.
+#[derive(Clone)]
+struct Front {
+    router: Arc<Router>,
+    presence: Arc<Presence>,
+}
+
+async fn handle(mut ctx: WebContext<'_, Front>) -> Result<WebResponse, xitca_web::error::Error> {
+    let Front { router, presence } = ctx.state().clone();
+    let (parts, ext) = ctx.take_request().into_parts();
+    let caller = *ext.socket_addr();
+    let (_, mut body) = ext.replace_body(());
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    let closing = router.is_draining();
     if let Some(response) = health(&router, &path) {
-        return Ok(respond::closing_if(response, closing));
+        return Ok(respond::closing_if(response, router.is_draining()));
     }
     let started = Instant::now();
     let id = RequestId::random();
-    let served = serve_one(&router, id, &parts.method, &path, &parts.headers, body).await;
+    let served = tokio::select! {
+        served = serve_one(&router, id, &parts.method, &path, &parts.headers, &mut body) => served,
+        () = presence.clone().gone(caller) => {
+            router.journal.record(Event::CallerLeft { request: id });
+            // Nobody reads this; the connection ends with it.
+            return Ok(respond::closing_if(respond::json(408, String::new()), true));
+        }
+    };
+    if served.is_err() {
+        read::discard(&mut body).await;
+    }
     let answer = served.unwrap_or_else(Answer::Refused);
     metrics::histogram!("samphireshift_head_seconds").record(started.elapsed().as_secs_f64());
-    Ok(respond::respond(id, answer, closing))
+    let gone = Box::pin(presence.gone(caller));
+    Ok(respond::respond(id, answer, gone, router.is_draining()))
 }
 
 async fn serve_one(
@@ -67,7 +92,7 @@
     method: &Method,
     path: &str,
     headers: &HeaderMap,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Answer, Refusal> {
     let unsent = Unsent::accepted();
     let meta = read::meta(router, id, headers, &unsent)?;
@@ -76,15 +101,15 @@
         return Ok(Answer::Whole(models(router, &meta.organisation)));
     }
     if let Some(rest) = plain.strip_prefix(SERVICES).and_then(|_| path.strip_prefix(SERVICES)) {
-        let body = read::body(body, router.body_limit, &unsent).await?;
-        let call = read::service(meta, method.clone(), rest, headers, body);
+        let body = read::body(body, router, &unsent).await?;
+        let call = read::service(meta, method.clone(), rest, headers, body, &unsent)?;
         return Ok(router.call_service(call, unsent).await);
     }
     if method != Method::POST || plain != "/v1/chat/completions" {
         let text = format!("there is no {method} {plain}; see the README for the API");
         return Err(Refusal::not_run(RefusalCode::NotFound, text, &unsent));
     }
-    let body = read::body(body, router.body_limit, &unsent).await?;
+    let body = read::body(body, router, &unsent).await?;
     let chat = read::chat(meta, &body, &unsent)?;
     Ok(router.chat(chat, unsent).await)
 }
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -2,8 +2,10 @@
 
 mod body;
 mod front;
+mod presence;
 mod read;
 mod respond;
+mod service_path;
 
 pub use front::serve;
 pub use respond::json;
--- a/src/caller/read.rs
+++ b/src/caller/read.rs
@@ -1,5 +1,6 @@
 //! Reads and checks a caller's request.
 
+use super::service_path::{PathError, ServicePath};
 use crate::name::{
     IdempotencyKey, OrganisationName, RequestId, ServiceName, SessionName, TaskKind,
 };
@@ -8,31 +9,55 @@
 use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
 use serde_json::{Map, Value};
-use std::pin::pin;
+use std::pin::Pin;
 use std::time::{Duration, Instant};
 use xitca_web::body::{BodyExt, RequestBody};
 
-/// How long a caller may take to send its body.
-const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// How much of a refused request's body is read, in bytes, so that a caller that is still sending
+/// gets to read the refusal, and for how long.
+const DISCARD_BYTES: usize = 8 << 20;
+const DISCARD_LIMIT: Duration = Duration::from_secs(1);
 /// The longest session name, key or kind, in bytes.
 const NAME_BYTES: usize = 256;
 /// The longest deadline that a caller may ask for.
 const DEADLINE_LIMIT: Duration = Duration::from_secs(3_600);
 
 /// Reads a body, within the size and time that are allowed.
-pub async fn body(body: RequestBody, limit: usize, unsent: &Unsent) -> Result<Bytes, Refusal> {
+pub async fn body(
+    body: &mut RequestBody,
+    router: &Router,
+    unsent: &Unsent,
+) -> Result<Bytes, Refusal> {
     let slow = || {
-        let text = format!("the body did not arrive within {BODY_LIMIT:?}");
+        let text = format!("the body did not arrive within {:?}", router.receive);
         Refusal::not_run(RefusalCode::TooSlow, text, unsent)
     };
-    let read = read_body(body, limit, unsent);
-    tokio::time::timeout(BODY_LIMIT, read).await.unwrap_or_else(|_| Err(slow()))
+    let read = read_body(body, router.body_limit, unsent);
+    tokio::time::timeout(router.receive, read).await.unwrap_or_else(|_| Err(slow()))
+}
+
+/// Reads what is left of a refused request's body, within bounds.
+pub async fn discard(body: &mut RequestBody) {
+    let read = async {
+        let mut count = 0;
+        while let Some(Ok(piece)) = Pin::new(&mut *body).data().await {
+            count += piece.len();
+            if count > DISCARD_BYTES {
+                return;
+            }
+        }
+    };
+    // What is still on its way then is cut off.
+    let _ = tokio::time::timeout(DISCARD_LIMIT, read).await;
 }
 
-async fn read_body(body: RequestBody, limit: usize, unsent: &Unsent) -> Result<Bytes, Refusal> {
-    let mut body = pin!(body);
+async fn read_body(
+    body: &mut RequestBody,
+    limit: usize,
+    unsent: &Unsent,
+) -> Result<Bytes, Refusal> {
     let mut bytes = BytesMut::new();
-    while let Some(piece) = body.as_mut().data().await {
+    while let Some(piece) = Pin::new(&mut *body).data().await {
         let piece = piece.map_err(|cause| {
             let text = format!("the body broke off: {cause}");
             Refusal::not_run(RefusalCode::BadRequest, text, unsent)
@@ -94,16 +119,15 @@
     rest: &str,
     headers: &HeaderMap,
     body: Bytes,
-) -> ServiceRequest {
-    let end = rest.find(['/', '?']).unwrap_or(rest.len());
-    let (service, tail) = rest.split_at(end);
-    let path = match tail.starts_with('/') {
-        true => tail.to_owned(),
-        false => format!("/{tail}"),
-    };
+    unsent: &Unsent,
+) -> Result<ServiceRequest, Refusal> {
+    let bad =
+        |error: PathError| Refusal::not_run(RefusalCode::BadRequest, error.to_string(), unsent);
+    let ServicePath { service, path } = ServicePath::parse(rest).map_err(bad)?;
     let media = headers.get(http::header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
     let media = media.unwrap_or("application/json").to_owned();
-    ServiceRequest { meta, service: ServiceName::new(service), method, path, media, body }
+    let service = ServiceName::new(service);
+    Ok(ServiceRequest { meta, service, method, path, media, body })
 }
 
 fn organisation(
@@ -128,7 +152,12 @@
     header: &str,
     unsent: &Unsent,
 ) -> Result<Option<&'a str>, Refusal> {
-    let Some(value) = headers.get(header) else { return Ok(None) };
+    let mut values = headers.get_all(header).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        let text = format!("header '{header}' must be given once");
+        return Err(Refusal::not_run(RefusalCode::BadRequest, text, unsent));
+    }
     let text = value.to_str().unwrap_or("").trim();
     if text.is_empty() || text.len() > NAME_BYTES {
         let text = format!("header '{header}' must hold 1 to {NAME_BYTES} ASCII characters");
@@ -139,8 +168,9 @@
 
 fn deadline(text: &str, unsent: &Unsent) -> Result<Duration, Refusal> {
     let limit = DEADLINE_LIMIT.as_millis() as u64;
+    let digits = text.bytes().all(|byte| byte.is_ascii_digit());
     match text.parse::<u64>() {
-        Ok(millis) if (1..=limit).contains(&millis) => Ok(Duration::from_millis(millis)),
+        Ok(millis) if digits && (1..=limit).contains(&millis) => Ok(Duration::from_millis(millis)),
         _ => {
             let text = format!("header 'x-deadline-ms' must be a number from 1 to {limit}");
             Err(Refusal::not_run(RefusalCode::BadRequest, text, unsent))
--- a/src/caller/respond.rs
+++ b/src/caller/respond.rs
@@ -3,6 +3,7 @@
 use super::body::StreamedBody;
 use crate::name::RequestId;
 use crate::route::{Answer, Refusal, Whole};
+use futures::future::BoxFuture;
 use http::{HeaderValue, StatusCode, header};
 use xitca_web::body::ResponseBody;
 use xitca_web::http::WebResponse;
@@ -10,13 +11,18 @@
 const RAN_HEADER: &str = "x-samphireshift-ran";
 const REQUEST_HEADER: &str = "x-request-id";
 
-/// Makes the response to a request.
-pub fn respond(request: RequestId, answer: Answer, closing: bool) -> WebResponse {
+/// Makes the response to a request; `gone` ends when the caller has left.
+pub fn respond(
+    request: RequestId,
+    answer: Answer,
+    gone: BoxFuture<'static, ()>,
+    closing: bool,
+) -> WebResponse {
     let mut response = match answer {
         Answer::Whole(whole) => whole_response(whole),
         Answer::Refused(refusal) => refusal_response(&refusal),
         Answer::Stream(input) => {
-            let body = ResponseBody::boxed(StreamedBody::new(input));
+            let body = ResponseBody::boxed(StreamedBody::new(input, gone));
             let mut response = WebResponse::new(body);
             let headers = response.headers_mut();
             let media = HeaderValue::from_static("text/event-stream");
