Replace lost voters by spares, and let diskless VMs stand in

Cause: the leader only added members. A voter lost for good kept its place for ever, and the next loss stopped the group; a VM that lost its disk came back under a name that nobody removed.

Change: the next step is a pure function (src/daemon/membership_plan.rs, table of 21 cases): learner first, voter when it has synced everything committed, then the lost one goes. Spares with a disk first, in the data centre with the fewest voters; stand-ins only as a strict minority, and they give way to a disk. No step leaves fewer living voters than a quorum. Silence counts from a voter's last answer to the group.

Also: consensus batches between two daemons keep their order; each batch was a task of its own on both sides, so a later one could overtake, be refused and be sent again.

Ruled out: removing the lost voter first (two voters, both needed); asking for `matched == last` (never true under load).

--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -1,9 +1,10 @@
 //! The leader's care for its groups' members: learners first, then voters.
 
 use super::Node;
-use crate::consensus::{Member, Members};
+use super::membership_plan::{MembershipStep, MembershipView, Seen};
+use crate::consensus::{Member, MemberId};
 use crate::event::Event;
-use crate::group::{Group, GroupStatus};
+use crate::group::{Group, GroupStatus, since_start};
 use crate::peer::PeerIdentity;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,37 +39,56 @@
 }
 
 async fn look_after(node: &Node, group: &Group, status: &GroupStatus) {
-    let Some((next, event)) = next_members(node, group, status) else { return };
-    match group.change(next).await {
-        Ok(()) => node.journal.record(event),
+    let Some(step) = next_step(node, status) else { return };
+    match group.change(step.apply(&status.members)).await {
+        Ok(()) => node.journal.record(event(group, step)),
         Err(error) => log::debug!("{}: members not changed: {error}", group.id()),
     }
 }
 
-/// One step towards the voters that are wanted.
-fn next_members(node: &Node, group: &Group, status: &GroupStatus) -> Option<(Members, Event)> {
-    let name = group.id().to_string();
-    let members = &status.members;
-    if let Some(learner) = caught_up(status) {
-        let mut next = members.clone();
-        next.learners.retain(|m| m.id != learner.id);
-        next.voters.push(learner.clone());
-        return Some((next, Event::MemberPromoted { group: name, vm: learner.vm }));
+fn next_step(node: &Node, status: &GroupStatus) -> Option<MembershipStep> {
+    let synced = |(id, matched): &(MemberId, u64)| (*matched >= status.commit).then_some(*id);
+    let caught_up: Vec<_> = status.matched.iter().filter_map(synced).collect();
+    let view = MembershipView {
+        own: node.member().id,
+        members: &status.members,
+        caught_up: &caught_up,
+        seen: &seen(node, status),
+        wanted: node.settings.voters,
+        replace_after: node.settings.replace_after,
+    };
+    view.next()
+}
+
+/// Every VM that is or was in reach, and those members that this daemon has never heard.
+fn seen(node: &Node, status: &GroupStatus) -> Vec<Seen> {
+    let now = since_start();
+    let mut all = vec![Seen { member: node.member(), joined: true, silent: Duration::ZERO }];
+    for (identity, heard) in node.cluster.net().heard() {
+        let PeerIdentity { vm, member: id, data_centre, durable, cluster, .. } = identity;
+        let acked = status.acked.iter().find(|(other, _)| *other == id).map(|(_, at)| *at);
+        // A voter that answers pings but not the group is as good as silent.
+        let last = match status.members.is_voter(id) {
+            true => acked.unwrap_or_default().max(status.since),
+            false => heard,
+        };
+        let member = Member { id, vm, data_centre, durable };
+        all.push(Seen { member, joined: cluster.is_some(), silent: now.saturating_sub(last) });
     }
-    if members.voters.len() + members.learners.len() >= node.settings.voters {
-        return None;
+    for member in status.members.all() {
+        if !all.iter().any(|seen| seen.member.id == member.id) {
+            let silent = now.saturating_sub(status.since);
+            all.push(Seen { member: member.clone(), joined: true, silent });
+        }
     }
-    let fits = |peer: &PeerIdentity| {
-        peer.durable && peer.cluster.is_some() && !members.all().any(|m| m.vm == peer.vm)
-    };
-    let peer = node.cluster.net().up().into_iter().find(fits)?;
-    let PeerIdentity { vm, member: id, data_centre, durable, .. } = peer;
-    let mut next = members.clone();
-    next.learners.push(Member { id, vm: vm.clone(), data_centre, durable });
-    Some((next, Event::MemberAdded { group: name, vm }))
+    all
 }
 
-fn caught_up(status: &GroupStatus) -> Option<Member> {
-    let synced = |m: &&Member| status.matched.contains(&(m.id, status.last));
-    status.members.learners.iter().find(synced).cloned()
+fn event(group: &Group, step: MembershipStep) -> Event {
+    let group = group.id().to_string();
+    match step {
+        MembershipStep::Add(member) => Event::MemberAdded { group, vm: member.vm },
+        MembershipStep::Promote(member) => Event::MemberPromoted { group, vm: member.vm },
+        MembershipStep::Remove(member) => Event::MemberRemoved { group, vm: member.vm },
+    }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 mod lease_loop;
 mod ledger_care;
 mod membership;
+mod membership_plan;
 mod node;
 mod operate;
 mod peer_server;
@@ -12,5 +13,6 @@
 mod start;
 mod stop;
 
+pub use membership_plan::{MembershipStep, MembershipView, Seen};
 pub use node::Node;
 pub use start::run;
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -96,7 +96,11 @@
     let requests = channel.execute(PeerServer(node).serve());
     requests
         .for_each(|response| async {
-            tokio::spawn(response);
+            let mut response = Box::pin(response);
+            // Consensus messages are taken in at the first poll, and so in the order of arrival.
+            if futures::poll!(response.as_mut()).is_pending() {
+                tokio::spawn(response);
+            }
         })
         .await;
 }
--- a/src/peer/outbox.rs
+++ b/src/peer/outbox.rs
@@ -23,7 +23,11 @@
         }
         for (member, messages) in sorted {
             if let Some(client) = net.client_of(member) {
-                tokio::spawn(deliver(client, messages));
+                let mut work = Box::pin(deliver(client, messages));
+                // The first poll hands the batch to the connection, which keeps their order.
+                if futures::poll!(work.as_mut()).is_pending() {
+                    tokio::spawn(work);
+                }
             }
         }
     }
