--- a/src/policy/board.rs
+++ b/src/policy/board.rs
@@ -13,6 +13,8 @@
 const GROWN_PART: u64 = 8;
 /// Evidence is committed anew when its strength changed by this factor.
 const STRONGER: f64 = 3.0;
+/// Evidence below this part of a threshold is all alike.
+const FAINT: f64 = 1e-4;
 
 /// What is to be done about a version that is held to be bad.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -277,8 +279,8 @@
     if old.verdict != new.verdict {
         return true;
     }
-    let before = Judge::resume(old.clone()).strength().max(1e-9);
-    let now = judge.strength().max(1e-9);
+    let before = Judge::resume(old.clone()).strength().max(FAINT);
+    let now = judge.strength().max(FAINT);
     let stronger = now > before * STRONGER || now * STRONGER < before;
     stronger || new.answers.abs_diff(old.answers) * GROWN_PART >= old.answers.max(1)
 }
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -1,7 +1,9 @@
 use crate::control::Learned;
 
-/// Ratings that an expectation from elsewhere counts as.
+/// Ratings that the ticket's expectation counts as.
 const PRIOR_RATINGS: f64 = 20.0;
+/// Ratings that the mean of all organisations counts as beside one organisation's own.
+const POOL_RATINGS: f64 = 100.0;
 /// Variance assumed of single ratings before any is known.
 const PRIOR_VARIANCE: f64 = 0.04;
 /// Ratings that the assumed variance counts as.
@@ -18,7 +20,7 @@
     pub spread: f64,
     /// Standard error of the mean.
     pub error: f64,
-    /// Ratings behind it, those of other organisations counted up to the prior's weight.
+    /// Ratings behind it, those of all organisations counted up to their weight.
     pub ratings: f64,
 }
 
@@ -34,12 +36,15 @@
     /// assert_eq!(Estimate::new(0.8, &none, &none).mean, 0.8);
     /// ```
     pub fn new(prior: f64, pooled: &Learned, own: &Learned) -> Self {
-        let everyone = shrink(prior, pooled);
-        let mean = shrink(everyone, own);
         let (all, n) = (pooled.ratings as f64, own.ratings as f64);
-        let ratings = n + (all - n).clamp(0.0, PRIOR_RATINGS);
+        let everyone = shrink(prior, PRIOR_RATINGS, pooled);
+        let mean = shrink(everyone, POOL_RATINGS, own);
+        let ratings = n + (all - n).clamp(0.0, POOL_RATINGS);
         let spread = variance(pooled).sqrt();
-        let error = spread * ratings.sqrt() / (ratings + PRIOR_RATINGS);
+        let of_all = all.sqrt() / (all + PRIOR_RATINGS);
+        let of_own = n.sqrt() / (n + POOL_RATINGS);
+        let part = POOL_RATINGS / (n + POOL_RATINGS);
+        let error = spread * of_own.hypot(part * of_all);
         Self { mean, spread, error, ratings }
     }
 
@@ -59,9 +64,9 @@
     }
 }
 
-fn shrink(prior: f64, learned: &Learned) -> f64 {
+fn shrink(prior: f64, weight: f64, learned: &Learned) -> f64 {
     let sum = learned.sum as f64 / HUNDRED;
-    (PRIOR_RATINGS * prior + sum) / (PRIOR_RATINGS + learned.ratings as f64)
+    (weight * prior + sum) / (weight + learned.ratings as f64)
 }
 
 fn variance(learned: &Learned) -> f64 {
--- a/src/policy/judge.rs
+++ b/src/policy/judge.rs
@@ -39,7 +39,8 @@
 
     /// Ratings seen.
     pub fn ratings(&self) -> u64 {
-        let rated = self.evidence.tests.iter().filter(|t| t.signal == Signal::LowRating);
+        let by_kind = |t: &&SignalTest| t.signal == Signal::LowRating && t.kind.is_some();
+        let rated = self.evidence.tests.iter().filter(by_kind);
         rated.map(|test| test.count).sum()
     }
 
@@ -64,12 +65,17 @@
         let malformed = Batch::Counts { bad: delta.malformed, good: seen - delta.malformed };
         let slow = Batch::Counts { bad: delta.slow, good: delta.firsts - delta.slow };
         for kind in [None, kind] {
-            self.test(Signal::Failed, kind, failed, against);
-            self.test(Signal::Malformed, kind, malformed, against);
+            self.test(Signal::Failed, kind, failed, against, None);
+            self.test(Signal::Malformed, kind, malformed, against, None);
+        }
+        self.test(Signal::Slow, None, slow, against, None);
+        let ratings = Batch::Ratings(&delta.ratings);
+        let bound = self.test(Signal::LowRating, kind, ratings, against, None);
+        // Kinds are rated unlike, and their mixture changes: all together are held against the
+        // bound of the kind that each rating belongs to.
+        if bound.is_some() {
+            self.test(Signal::LowRating, None, ratings, against, bound);
         }
-        self.test(Signal::Slow, None, slow, against);
-        // Kinds are rated unlike, and their mixture changes: there is no test of all together.
-        self.test(Signal::LowRating, kind, Batch::Ratings(&delta.ratings), against);
         self.decide();
     }
 
@@ -79,27 +85,30 @@
         kind: Option<&TaskKind>,
         batch: Batch<'_>,
         against: Reference<'_>,
-    ) {
+        bound: Option<f64>,
+    ) -> Option<f64> {
         let same = |t: &SignalTest| t.signal == signal && t.kind.as_ref() == kind;
         let tests = &mut self.evidence.tests;
         if !tests.iter().any(same) {
             let kinds = tests.iter().filter(|t| t.signal == signal && t.kind.is_some()).count();
             if kind.is_some() && kinds >= KINDS {
-                return;
+                return None;
             }
             tests.push(SignalTest::open(signal, kind.cloned()));
         }
         let test = tests.iter_mut().find(|t| same(t)).expect("the test was just added");
-        let bound = test.bound(against.like(test));
+        let bound = bound.or_else(|| test.bound(against.like(test)));
         test.observe(batch, bound);
+        bound
     }
 
     fn decide(&mut self) {
         if self.evidence.verdict.is_some() {
             return;
         }
-        let crossed = self.evidence.tests.iter().find(|test| self.part(test) >= 1.0);
-        self.evidence.verdict = crossed.map(describe);
+        let crossed = self.evidence.tests.iter().filter(|test| self.part(test) >= 1.0);
+        // A single kind says more than all together.
+        self.evidence.verdict = crossed.max_by_key(|test| test.kind.is_some()).map(describe);
     }
 
     /// A test's wealth as a part of its threshold.
--- a/src/policy/signal_test.rs
+++ b/src/policy/signal_test.rs
@@ -18,7 +18,7 @@
 /// Failures that any version is blamed for.
 const FAILED_CEILING: f64 = 0.05;
 /// How far ratings may fall before a version is blamed.
-const RATING_MARGIN: f64 = 0.08;
+const RATING_MARGIN: f64 = 0.05;
 /// Late first tokens, as a share, that no version is blamed for.
 const SLOW_MARGIN: f64 = 0.1;
 /// Observations that the mean of recent ratings looks back on.
--- a/tests/policy_judge.rs
+++ b/tests/policy_judge.rs
@@ -81,7 +81,7 @@
 #[case::fails_after_a_long_good_past(Turn { before: 20_000, after: Behaviour { failed: 0.5, ..GOOD }, most: 80, says: "failed answers" })]
 #[case::fails_a_little(Turn { before: 5_000, after: Behaviour { failed: 0.1, ..GOOD }, most: 800, says: "failed answers" })]
 #[case::malformed(Turn { before: 5_000, after: Behaviour { malformed: 0.5, ..GOOD }, most: 80, says: "malformed answers" })]
-#[case::rated_low(Turn { before: 5_000, after: Behaviour { quality: 0.5, ..GOOD }, most: 150, says: "low ratings at kind 'summary'" })]
+#[case::rated_low(Turn { before: 5_000, after: Behaviour { quality: 0.5, ..GOOD }, most: 150, says: "low ratings" })]
 #[case::rated_a_little_low(Turn { before: 5_000, after: Behaviour { quality: 0.65, ..GOOD }, most: 900, says: "low ratings" })]
 fn a_version_that_turns_bad_is_stopped_soon(#[case] turn: Turn) {
     for seed in 0..5 {
