Show that the checker fails, and have old sessions asked of a daemon that remembers nothing

Cause: a mutation that takes every pin anew could go unnoticed, as the share by session's hash made all daemons choose alike. Change: behind the fail-over the test closes the old version before it asks the restarted daemon for each session.

--- a/tests/faults_ledger.rs
+++ b/tests/faults_ledger.rs
@@ -148,6 +148,11 @@
     assert_eq!(refused, Vec::<String>::new(), "a leader's death refuses nothing");
     fleet.restart(leader);
     fleet.await_ready().await;
+    // New sessions now go elsewhere; a daemon that remembers nothing must still know the old ones.
+    let closing = json!({ "number": 3, "author": "test", "versions": [
+        ticket::version("cheap", "v1", "closing", 0.8, 100),
+    ]});
+    fleet.apply(&closing).await;
     for n in 0..20 {
         checker.chat(&fleet, leader, &format!("s{n}")).await;
     }
