Send each token to the caller at once

Cause: xitca-web leaves Nagle's algorithm on for accepted sockets. The head of a streamed answer left alone and the first token waited for the caller's delayed acknowledgement: examples/load showed the routed first token at p50 46.8 ms against 6.8 ms direct (2 tokens), as late as the whole answer.

Ruled out: the admission queue, as the first token was as late at 2 tokens, where nothing waited.

Change: TCP_NODELAY on accepted sockets. No test: it would have to assert on time.

--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -1,10 +1,11 @@
-use super::presence::Presence;
+use super::presence::{Presence, Present};
 use super::{read, respond};
 use crate::event::Event;
 use crate::name::RequestId;
 use crate::route::{Answer, Refusal, RefusalCode, Router, Unsent};
 use http::{HeaderMap, Method};
-use std::net::TcpListener;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use xitca_http::HttpServiceBuilder;
@@ -38,7 +39,7 @@
     let http = Arc::new(app).enclosed(HttpServiceBuilder::with_config(config));
     let service = http.enclosed_fn(async move |http, stream: Stream| {
         let _present = match &stream {
-            Stream::Tcp(stream, address) => presence.enter(*address, stream).ok(),
+            Stream::Tcp(stream, address) => set_up(&presence, *address, stream).ok(),
             _ => None,
         };
         http.call(stream).await
@@ -51,6 +52,17 @@
         .build()
 }
 
+/// Has each token leave at once, rather than with the acknowledgement of the one before (Nagle,
+/// RFC 896), and takes the connection into the table.
+fn set_up(
+    presence: &Arc<Presence>,
+    address: SocketAddr,
+    stream: &TcpStream,
+) -> io::Result<Present> {
+    stream.set_nodelay(true)?;
+    presence.enter(address, stream)
+}
+
 /// What serving callers needs.
 #[derive(Clone)]
 struct Front {
