Reuse connections to backend servers on the thread that opened them

Change: an idle connection is lent only on the thread that opened it; old ones are dropped when one is given back.

--- a/src/backend/connections.rs
+++ b/src/backend/connections.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::thread::ThreadId;
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -45,6 +46,7 @@
     sender: Sender,
     guard: Arc<Guard>,
     since: Instant,
+    home: ThreadId,
 }
 
 /// Connections to backend servers.
@@ -64,6 +66,7 @@
     address: SocketAddr,
     sender: Sender,
     guard: Arc<Guard>,
+    home: ThreadId,
 }
 
 impl Connections {
@@ -78,9 +81,10 @@
     /// # Errors
     /// [`SendError::NotSent`] where none can be opened.
     pub async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Lent, SendError> {
-        if !fresh && let Some((sender, guard)) = self.pool.idle(address) {
+        let home = std::thread::current().id();
+        if !fresh && let Some((sender, guard)) = self.pool.idle(address, home) {
             guard.begin(None);
-            return Ok(Lent { owner: self.pool.clone(), address, sender, guard });
+            return Ok(Lent { owner: self.pool.clone(), address, sender, guard, home });
         }
         let dial = TcpStream::connect(address);
         let stream = match tokio::time::timeout(self.connect, dial).await {
@@ -98,7 +102,7 @@
             // The exchange in progress reports the error to its caller.
             let _ = connection.await;
         });
-        Ok(Lent { owner: self.pool.clone(), address, sender, guard })
+        Ok(Lent { owner: self.pool.clone(), address, sender, guard, home })
     }
 
     /// Fetches a small document; `None` where it cannot be had.
@@ -134,10 +138,13 @@
         &self.shards[address.port() as usize % SHARDS]
     }
 
-    fn idle(&self, address: SocketAddr) -> Option<(Sender, Arc<Guard>)> {
+    fn idle(&self, address: SocketAddr, home: ThreadId) -> Option<(Sender, Arc<Guard>)> {
         let mut shard = self.shard(address).lock().expect("connection lock");
         let stack = shard.get_mut(&address)?;
-        while let Some(idle) = stack.pop() {
+        // A connection's task runs on the thread that opened it; from another, each token would cost
+        // two wake-ups across threads.
+        while let Some(at) = stack.iter().rposition(|idle| idle.home == home) {
+            let idle = stack.remove(at);
             if idle.sender.is_ready() && idle.since.elapsed() < IDLE_LIMIT {
                 return Some((idle.sender, idle.guard));
             }
@@ -174,9 +181,10 @@
     pub fn give_back(self) {
         let mut shard = self.owner.shard(self.address).lock().expect("connection lock");
         let stack = shard.entry(self.address).or_default();
+        stack.retain(|idle| idle.since.elapsed() < IDLE_LIMIT);
         if stack.len() < IDLE_PER_ADDRESS {
-            let Lent { sender, guard, .. } = self;
-            stack.push(Idle { sender, guard, since: Instant::now() });
+            let Lent { sender, guard, home, .. } = self;
+            stack.push(Idle { sender, guard, since: Instant::now(), home });
         }
     }
 }
