--- a/tests/consensus_explore.rs
+++ b/tests/consensus_explore.rs
@@ -25,6 +25,7 @@
     wipe: 0,
     freeze: 0,
     yields: 0,
+    early: false,
 };
 
 #[rstest]
@@ -33,6 +34,8 @@
 #[case::disks(Case { faults: Faults { crash: 8, wipe: 4, freeze: 4, change: 120, ..NET } })]
 #[case::hand_over(Case { faults: Faults { crash: 6, freeze: 6, yields: 12, ..NET } })]
 #[case::snapshots(Case { faults: Faults { crash: 6, compact: 60, change: 60, repeat: 200, ..NET } })]
+#[case::growth(Case { faults: Faults { crash: 40, change: 100, early: true, ..NET } })]
+#[case::splits(Case { faults: Faults { crash: 6, freeze: 12, cut: 40, change: 200, ..NET } })]
 #[case::all(Case {
     faults: Faults { crash: 12, wipe: 2, freeze: 8, yields: 6, compact: 30, change: 80, ..NET },
 })]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -32,6 +32,8 @@
     pub change: u32,
     pub compact: u32,
     pub yields: u32,
+    /// Whether faults begin with the first voter, before there are three.
+    pub early: bool,
 }
 
 pub struct Node {
@@ -93,7 +95,9 @@
         world.core(0).found(first);
         // An operator who sees a founding crash founds anew, so it is not part of a run.
         world.flush(0);
-        world.settle();
+        if !faults.early {
+            world.settle();
+        }
         world.faults = faults;
         world
     }
