--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,10 +1,12 @@
 //! The daemon's settings: an INI file read once at start and checked as a whole.
 
 mod issue;
+mod key;
 mod reader;
 mod unit;
 
 pub use issue::{SettingsErrors, SettingsIssue};
+pub use key::KeySpec;
 pub use unit::{parse_duration, parse_size};
 
 use crate::error::Error;
@@ -110,10 +112,31 @@
     /// All faults at once, each naming file, section, key and what is allowed.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsErrors> {
         let mut r = Reader::open(file, text)?;
-        let settings = Self {
+        let settings = Self::read(&mut r);
+        r.check_ports(&[settings.callers, settings.operators, settings.peers]);
+        r.check_folder(settings.data_folder.as_deref());
+        r.check_lease(settings.lease, settings.renew);
+        r.check_fail_over(settings.lease, settings.election, settings.heartbeat);
+        r.finish(settings)
+    }
+
+    /// Every key that a settings file may hold.
+    ///
+    /// ```
+    /// let keys = samphireshift::settings::Settings::keys();
+    /// assert!(keys.iter().any(|key| key.section == "vm" && key.key == "name"));
+    /// ```
+    pub fn keys() -> Vec<KeySpec> {
+        let mut r = Reader::open("", "").expect("an empty text is an INI file");
+        Self::read(&mut r);
+        r.keys()
+    }
+
+    fn read(r: &mut Reader) -> Self {
+        Self {
             vm: VmName::new(r.name("vm", "name")),
             data_centre: DataCentre::new(r.name("vm", "data_centre")),
-            data_folder: r.optional("vm", "data_folder").map(PathBuf::from),
+            data_folder: r.folder("vm", "data_folder"),
             callers: r.address("listen", "callers"),
             operators: r.address("listen", "operators"),
             peers: r.address("listen", "peers"),
@@ -150,11 +173,6 @@
             receive: r.duration("limits", "receive", "10s", "100ms", "5m"),
             idle: r.duration("limits", "idle", "60s", "1s", "1h"),
             drain: r.duration("limits", "drain", "2s", "0ms", "5m"),
-        };
-        r.check_ports(&[settings.callers, settings.operators, settings.peers]);
-        r.check_folder(settings.data_folder.as_deref());
-        r.check_lease(settings.lease, settings.renew);
-        r.check_fail_over(settings.lease, settings.election, settings.heartbeat);
-        r.finish(settings)
+        }
     }
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -1,15 +1,18 @@
 use super::issue::{SettingsErrors, SettingsIssue};
+use super::key::KeySpec;
 use super::unit::{parse_duration, parse_size};
 use super::{Settings, VmListSource};
 use crate::policy::Balance;
 use ini::Ini;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 const NAME_LIMIT: usize = 64;
 const SECRET_MIN: usize = 8;
+const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
+const ADDRESSES: &str = "IP addresses and ports, separated by commas";
 /// A lease must outlast this many renewals, so that one lost message costs nothing.
 const RENEWALS_PER_LEASE: u32 = 3;
 /// An election takes up to two of its shortest times to begin, and some rounds to end.
@@ -21,7 +24,7 @@
 pub struct Reader {
     file: String,
     ini: Ini,
-    known: BTreeSet<(String, String)>,
+    known: BTreeMap<(String, String), KeySpec>,
     issues: Vec<SettingsIssue>,
 }
 
@@ -33,7 +36,7 @@
             let issue = issue(file, "", "", &text);
             SettingsErrors(vec![issue])
         })?;
-        Ok(Self { file: file.to_owned(), ini, known: BTreeSet::new(), issues: Vec::new() })
+        Ok(Self { file: file.to_owned(), ini, known: BTreeMap::new(), issues: Vec::new() })
     }
 
     fn fault(&mut self, section: &str, key: &str, text: &str) {
@@ -42,12 +45,26 @@
     }
 
     pub fn optional(&mut self, section: &str, key: &str) -> Option<String> {
-        self.known.insert((section.to_owned(), key.to_owned()));
+        let place = (section.to_owned(), key.to_owned());
+        self.known.entry(place).or_insert_with(|| KeySpec::new(section, key));
         let value = self.ini.get_from(Some(section), key)?;
         Some(value.trim().to_owned())
     }
 
+    /// Notes what a key may hold and its default, for [`Settings::keys`].
+    fn describe(&mut self, section: &str, key: &str, allowed: &str, default: &str) {
+        let place = (section.to_owned(), key.to_owned());
+        let spec = KeySpec { allowed: allowed.to_owned(), ..KeySpec::new(section, key) };
+        self.known.insert(place, KeySpec { default: default.to_owned(), ..spec });
+    }
+
+    /// Every key that was asked for.
+    pub fn keys(&self) -> Vec<KeySpec> {
+        self.known.values().cloned().collect()
+    }
+
     fn required(&mut self, section: &str, key: &str, allowed: &str) -> Option<String> {
+        self.describe(section, key, allowed, "required");
         let value = self.optional(section, key);
         if value.is_none() {
             self.fault(section, key, &format!("missing; give {allowed}"));
@@ -76,39 +93,45 @@
 
     pub fn address(&mut self, section: &str, key: &str) -> SocketAddr {
         let none = SocketAddr::from(([0, 0, 0, 0], 0));
-        let allowed = "an IP address and port, such as 10.0.0.5:8080";
-        let Some(value) = self.required(section, key, allowed) else { return none };
+        let Some(value) = self.required(section, key, ADDRESS) else { return none };
         self.parse_address(section, key, &value).unwrap_or(none)
     }
 
     pub fn optional_address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
+        self.describe(section, key, ADDRESS, "none");
         let value = self.optional(section, key)?;
         self.parse_address(section, key, &value)
     }
 
+    /// An optional path of a folder.
+    pub fn folder(&mut self, section: &str, key: &str) -> Option<PathBuf> {
+        self.describe(section, key, "the path of a folder that can be written", "none");
+        self.optional(section, key).map(PathBuf::from)
+    }
+
     fn parse_address(&mut self, section: &str, key: &str, value: &str) -> Option<SocketAddr> {
         let parsed = value.parse().ok();
         if parsed.is_none() {
-            let text = format!(
-                "'{value}' is not an address; allowed: an IP address and port, such as 10.0.0.5:8080"
-            );
-            self.fault(section, key, &text);
+            self.fault(section, key, &format!("'{value}' is not an address; allowed: {ADDRESS}"));
         }
         parsed
     }
 
     pub fn addresses(&mut self, section: &str, key: &str) -> Vec<SocketAddr> {
+        self.describe(section, key, ADDRESSES, "none");
         let Some(value) = self.optional(section, key) else { return Vec::new() };
         let parts = value.split(',').map(str::trim).filter(|part| !part.is_empty());
         parts.filter_map(|part| self.parse_address(section, key, part)).collect()
     }
 
     pub fn number(&mut self, section: &str, key: &str, default: u64, low: u64, high: u64) -> u64 {
+        let allowed = format!("a number from {low} to {high}");
+        self.describe(section, key, &allowed, &default.to_string());
         let Some(value) = self.optional(section, key) else { return default };
         match value.parse::<u64>() {
             Ok(n) if (low..=high).contains(&n) => n,
             _ => {
-                let text = format!("'{value}' is not allowed; give a number from {low} to {high}");
+                let text = format!("'{value}' is not allowed; give {allowed}");
                 self.fault(section, key, &text);
                 default
             }
@@ -123,15 +146,15 @@
         low: &str,
         high: &str,
     ) -> Duration {
+        let allowed = format!("a time from {low} to {high} in ms, s, m or h");
+        self.describe(section, key, &allowed, default);
         let value = self.optional(section, key).unwrap_or_else(|| default.to_owned());
         let range = (parse_duration(low), parse_duration(high));
         let parsed = parse_duration(&value);
         if parsed.is_some() && range.0 <= parsed && parsed <= range.1 {
             return parsed.unwrap_or_default();
         }
-        let text =
-            format!("'{value}' is not allowed; give a time from {low} to {high} in ms, s, m or h");
-        self.fault(section, key, &text);
+        self.fault(section, key, &format!("'{value}' is not allowed; give {allowed}"));
         parse_duration(default).unwrap_or_default()
     }
 
@@ -143,15 +166,15 @@
         low: &str,
         high: &str,
     ) -> usize {
+        let allowed = format!("a size from {low} to {high} in B, KiB or MiB");
+        self.describe(section, key, &allowed, default);
         let value = self.optional(section, key).unwrap_or_else(|| default.to_owned());
         let range = (parse_size(low), parse_size(high));
         let parsed = parse_size(&value);
         if parsed.is_some() && range.0 <= parsed && parsed <= range.1 {
             return parsed.unwrap_or_default();
         }
-        let text =
-            format!("'{value}' is not allowed; give a size from {low} to {high} in B, KiB or MiB");
-        self.fault(section, key, &text);
+        self.fault(section, key, &format!("'{value}' is not allowed; give {allowed}"));
         parse_size(default).unwrap_or_default()
     }
 
@@ -195,17 +218,23 @@
         }
     }
 
+    /// Tries whether the folder, or the nearest one above it that exists, can be written. Makes no
+    /// folder.
     pub fn check_folder(&mut self, folder: Option<&Path>) {
         let Some(folder) = folder else { return };
-        let probe = folder.join(".write-probe");
-        let tried = std::fs::create_dir_all(folder).and_then(|()| std::fs::write(&probe, b""));
-        if let Err(cause) = tried {
-            let text = format!("{} cannot be written: {cause}", folder.display());
+        let Some(existing) = folder.ancestors().find(|path| path.exists()) else {
+            let text = format!("{} cannot be made: no folder above exists", folder.display());
             self.fault("vm", "data_folder", &text);
             return;
-        }
-        if let Err(cause) = std::fs::remove_file(&probe) {
-            self.fault("vm", "data_folder", &format!("cannot remove a probe file: {cause}"));
+        };
+        let probe = existing.join(format!(".write-probe-{}", std::process::id()));
+        let tried = std::fs::write(&probe, b"").and_then(|()| std::fs::remove_file(&probe));
+        if let Err(cause) = tried {
+            let text = format!(
+                "{} cannot be written: {cause}; allowed: a folder that this user can write",
+                folder.display()
+            );
+            self.fault("vm", "data_folder", &text);
         }
     }
 
@@ -241,20 +270,38 @@
     fn check_unknown(&mut self) {
         let mut found = Vec::new();
         for (section, keys) in self.ini.iter() {
-            let section = section.unwrap_or("");
-            found.extend(keys.iter().map(|(key, _)| (section.to_owned(), key.to_owned())));
+            let section = section.unwrap_or("").to_owned();
+            found.push((section, keys.iter().map(|(key, _)| key.to_owned()).collect()));
+        }
+        let mut sections = BTreeSet::new();
+        for (section, keys) in found {
+            if !sections.insert(section.clone()) {
+                self.fault(&section, "", "the section stands twice; allowed: once");
+            }
+            self.check_keys(&section, keys);
+        }
+    }
+
+    fn check_keys(&mut self, section: &str, keys: Vec<String>) {
+        let same = self.known.keys().filter(|(s, _)| *s == section);
+        let allowed: Vec<String> = same.map(|(_, key)| key.clone()).collect();
+        if allowed.is_empty() && !section.is_empty() {
+            let sections: BTreeSet<&str> = self.known.keys().map(|(s, _)| s.as_str()).collect();
+            let sections: Vec<&str> = sections.into_iter().collect();
+            let text = format!("unknown section; allowed: {}", sections.join(", "));
+            self.fault(section, "", &text);
+            return;
         }
-        for (section, key) in found {
-            if self.known.contains(&(section.clone(), key.clone())) {
-                continue;
+        let mut seen = BTreeSet::new();
+        for key in keys {
+            if section.is_empty() {
+                self.fault(section, &key, "stands before any section; allowed: keys in sections");
+            } else if !allowed.contains(&key) {
+                let text = format!("unknown key; allowed: {}", allowed.join(", "));
+                self.fault(section, &key, &text);
+            } else if !seen.insert(key.clone()) {
+                self.fault(section, &key, "the key stands twice; allowed: once");
             }
-            let same = self.known.iter().filter(|(s, _)| *s == section);
-            let keys: Vec<String> = same.map(|(_, k)| k.clone()).collect();
-            let text = match keys.is_empty() {
-                true => "unknown section".to_owned(),
-                false => format!("unknown key; allowed: {}", keys.join(", ")),
-            };
-            self.fault(&section, &key, &text);
         }
     }
 }
