--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -193,13 +193,14 @@
     }
 
     pub fn balance(&mut self, section: &str, key: &str) -> Balance {
+        let allowed = "expected, round_robin or least_connections";
+        self.describe(section, key, allowed, "expected");
         let Some(value) = self.optional(section, key) else { return Balance::default() };
         match value.as_str() {
             "expected" => Balance::Expected,
             "round_robin" => Balance::RoundRobin,
             "least_connections" => Balance::LeastConnections,
             _ => {
-                let allowed = "expected, round_robin or least_connections";
                 self.fault(section, key, &format!("'{value}' is not allowed; give {allowed}"));
                 Balance::default()
             }
