Keep the time line causal, bounded and across restarts

Cause: stamps travelled with lease questions only, so an effect of a forwarded command or of consensus could be stamped before its cause under clock skew; a broken clock far ahead would have been followed by the whole fleet; events were lost with the process; each event was formatted and logged on the request's path; a session's filter found its pin only; `ticket_in_force` was never recorded. Ruled out: a stamp field in every message (forgotten with the next message); a channel to the writer (a wake-up for each event). Change: every frame between daemons starts with the sender's stamp (peer/codec.rs), which also counts bytes (samphireshift_peer_bytes). A stamp more than 60 s ahead of the wall clock is not followed; event 82 says so, at most once in 10 s. A thread takes new events from the ring every 20 ms, logs them (request events at debug) and appends them to two files of 4 MiB; a reserved stamp keeps the clock from going back over a restart. Queries gain until, number, name, most, after; a daemon gives at most 5,000 events and says when it left some out. Explanations of tickets and versions. A ticket that arrives too slowly is refused after 10 s. Not proved: a VM that loses power may lose the newest events, nothing here is synced.

--- a/src/daemon/operate.rs
+++ b/src/daemon/operate.rs
@@ -125,11 +125,27 @@
 
     async fn in_force(&self, revision: u64, wait: Duration) -> OperatorReply {
         match self.await_in_force(revision, wait).await {
-            Some((reached, lagging)) => OperatorReply::InForce { reached, lagging },
+            Some((reached, lagging)) => {
+                if reached {
+                    self.note_in_force(revision);
+                }
+                OperatorReply::InForce { reached, lagging }
+            }
             None => OperatorReply::NotLeader { leader: self.leader() },
         }
     }
 
+    /// Records that the ticket of a revision was seen in force.
+    fn note_in_force(&self, revision: u64) {
+        let ticket = self.control(|state| {
+            let mut tickets = state.tickets();
+            tickets.find(|(_, record)| record.revision == revision).map(|(number, _)| number)
+        });
+        if let Some(ticket) = ticket {
+            self.journal.record(Event::TicketInForce { ticket, revision });
+        }
+    }
+
     fn bill_sums(&self) -> Vec<(OrganisationName, BillSum)> {
         let mut sums: BTreeMap<OrganisationName, BillSum> = BTreeMap::new();
         self.each_ledger(|state| {
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -4,8 +4,8 @@
 use crate::event::{Event, EventQuery};
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
-    LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply, Peer, PeerIdentity, Postcard,
-    SubmitAnswer, accept,
+    EventAnswer, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply, Peer,
+    PeerIdentity, Postcard, SubmitAnswer, accept,
 };
 use bytes::Bytes;
 use futures::StreamExt;
@@ -63,10 +63,11 @@
         self.0.status()
     }
 
-    async fn events(self, _: Context, query: EventQuery) -> Vec<String> {
-        let events = self.0.journal.select(&query);
+    async fn events(self, _: Context, query: EventQuery) -> EventAnswer {
+        let page = self.0.journal.select(&query);
         let line = |record| serde_json::to_string(record).expect("events always serialise");
-        events.iter().map(line).collect()
+        let lines = page.events.iter().map(line).collect();
+        EventAnswer { lines, truncated: page.truncated }
     }
 }
 
@@ -91,7 +92,7 @@
             return;
         }
     };
-    let transport = tarpc::serde_transport::new(framed, Postcard);
+    let transport = tarpc::serde_transport::new(framed, Postcard::open(node.journal.clone()));
     let channel = BaseChannel::with_defaults(transport);
     let requests = channel.execute(PeerServer(node).serve());
     requests
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -32,6 +32,8 @@
 
 /// How often the pools' places are fitted to their servers.
 const RESIZE_EVERY: Duration = Duration::from_millis(100);
+/// The folder of events within the data folder.
+const EVENT_FOLDER: &str = "events";
 
 /// Ratings of answers that a router waits for at once.
 const RATINGS: usize = 64;
@@ -71,11 +73,11 @@
 }
 
 async fn open(settings: Settings, metrics: PrometheusHandle) -> Result<Arc<Node>, Error> {
-    let journal = Arc::new(Journal::open(settings.vm.clone()));
     let folder = match &settings.data_folder {
         Some(path) => Some(DataFolder::open(path, &settings.vm)?),
         None => None,
     };
+    let journal = open_journal(&settings)?;
     let stored = folder.as_ref().map(|folder| folder.identity().clone());
     let identity = PeerIdentity {
         vm: settings.vm.clone(),
@@ -114,6 +116,24 @@
     }
 }
 
+/// Opens the journal; where the data folder cannot hold events, they stay in memory.
+fn open_journal(settings: &Settings) -> Result<Arc<Journal>, Error> {
+    let vm = settings.vm.clone();
+    let journal = match &settings.data_folder {
+        None => Journal::open(vm),
+        Some(folder) => {
+            Journal::open_in(vm.clone(), &folder.join(EVENT_FOLDER)).unwrap_or_else(|error| {
+                log::error!("events cannot be kept on disk: {error}");
+                Journal::open(vm)
+            })
+        }
+    };
+    let journal = Arc::new(journal);
+    let wrap = |cause| Error::Bind { address: "events".to_owned(), cause };
+    journal.spawn_writer().map_err(wrap)?;
+    Ok(journal)
+}
+
 fn open_groups(
     settings: &Settings,
     folder: Option<&DataFolder>,
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -80,6 +80,7 @@
     operators.close().await;
     node.cluster.groups().for_each(|group| group.stop());
     node.journal.record(Event::DaemonStopped);
+    node.journal.flush();
     Ok(())
 }
 
--- a/src/event/kind.rs
+++ b/src/event/kind.rs
@@ -37,6 +37,7 @@
     AnswerBilled { request: RequestId, cost: u64 },
     AnswerRelayed { request: RequestId, tokens: u64 },
     CallerLeft { request: RequestId },
+    SessionJoined { request: RequestId, session: SessionName },
     AnswerEscalated { request: RequestId, version: VersionKey, quality: Option<f64> },
     VersionStopped { version: VersionKey, evidence: String },
     RolloutStepped { rollout: RolloutName, share: u32 },
@@ -49,6 +50,7 @@
     OrderSent { server: VmName, order: String, fence: u64 },
     PeerSilent { peer: String },
     PeerRefused { reason: String },
+    StampRefused { ahead: u64 },
 }
 
 impl Event {
@@ -87,6 +89,7 @@
             Event::AnswerBilled { .. } => 49,
             Event::AnswerRelayed { .. } => 50,
             Event::CallerLeft { .. } => 51,
+            Event::SessionJoined { .. } => 52,
             Event::AnswerEscalated { .. } => 56,
             Event::VersionStopped { .. } => 60,
             Event::RolloutStepped { .. } => 61,
@@ -99,14 +102,26 @@
             Event::OrderSent { .. } => 74,
             Event::PeerSilent { .. } => 80,
             Event::PeerRefused { .. } => 81,
+            Event::StampRefused { .. } => 82,
         }
     }
 
+    /// The event's name in the catalogue.
+    ///
+    /// ```
+    /// assert_eq!(samphireshift::event::Event::DaemonStopping.name(), "daemon_stopping");
+    /// ```
+    pub fn name(&self) -> String {
+        let body = serde_json::to_value(self).unwrap_or_default();
+        body.get("name").and_then(|name| name.as_str()).unwrap_or("unknown").to_owned()
+    }
+
     /// The request that the event belongs to.
     pub fn request(&self) -> Option<RequestId> {
         match self {
             Event::RequestAdmitted { request, .. }
             | Event::RequestRefused { request, .. }
+            | Event::SessionJoined { request, .. }
             | Event::SessionPinned { request, .. }
             | Event::VersionChosen { request, .. }
             | Event::ClaimCommitted { request, .. }
@@ -149,7 +164,9 @@
     /// The session that the event speaks of.
     pub fn session(&self) -> Option<&SessionName> {
         match self {
-            Event::SessionPinned { session, .. } => Some(session),
+            Event::SessionJoined { session, .. } | Event::SessionPinned { session, .. } => {
+                Some(session)
+            }
             _ => None,
         }
     }
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -1,8 +1,86 @@
-use crate::event::{Event, EventRecord};
+use super::{Timeline, collect};
+use crate::daemon::Node;
+use crate::event::{Event, EventQuery, EventRecord};
+use crate::name::{RequestId, VersionKey, VmName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
-/// Says in words what happened to a request, one sentence an event.
-pub fn explain(events: &[EventRecord]) -> Vec<String> {
-    events.iter().filter_map(sentence).collect()
+/// What is explained.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Subject {
+    /// What became of a request.
+    Request(RequestId),
+    /// What became of a ticket.
+    Ticket(u64),
+    /// What happened to a version.
+    Version(VersionKey),
+}
+
+/// An explanation in words.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Explanation {
+    /// One sentence an event, in causal order.
+    pub lines: Vec<String>,
+    /// Daemons that did not answer; what they know is missing.
+    pub missing: Vec<String>,
+    /// Daemons that left older events out.
+    pub truncated: Vec<String>,
+}
+
+/// Explains a subject from the events of all daemons.
+pub async fn explain(node: &Node, subject: &Subject) -> Explanation {
+    let timeline = collect(node, &query_of(subject)).await;
+    let events = match subject {
+        Subject::Ticket(_) => with_installations(node, &timeline).await,
+        _ => timeline.events.clone(),
+    };
+    let mut lines: Vec<String> = events.iter().filter_map(sentence).collect();
+    if let Subject::Version(version) = subject {
+        let (all, closing) = summary(version, &timeline.events);
+        lines.retain(|line| !line.is_empty());
+        lines.push(format!("{all} events of version {version} are kept.{closing}"));
+    }
+    Explanation { lines, missing: timeline.missing, truncated: timeline.truncated }
+}
+
+fn query_of(subject: &Subject) -> EventQuery {
+    let all = EventQuery::default();
+    match subject {
+        Subject::Request(request) => EventQuery { request: Some(*request), ..all },
+        Subject::Ticket(ticket) => EventQuery { ticket: Some(*ticket), ..all },
+        Subject::Version(version) => EventQuery { version: Some(version.clone()), ..all },
+    }
+}
+
+/// The ticket's events and, for each VM, the first installation of its revision or a later one.
+async fn with_installations(node: &Node, timeline: &Timeline) -> Vec<EventRecord> {
+    let mut events = timeline.events.clone();
+    let accepted = events.iter().find_map(|record| match record.event {
+        Event::TicketAccepted { revision, .. } => Some((revision, record.at)),
+        _ => None,
+    });
+    let Some((wanted, at)) = accepted else { return events };
+    let name = Some("revision_installed".to_owned());
+    let query = EventQuery { name, since: Some(at.millis), ..EventQuery::default() };
+    let mut seen: BTreeSet<VmName> = BTreeSet::new();
+    for record in collect(node, &query).await.events {
+        let reached =
+            matches!(record.event, Event::RevisionInstalled { revision } if revision >= wanted);
+        if reached && seen.insert(record.vm.clone()) {
+            events.push(record);
+        }
+    }
+    events.sort_by(|a, b| (a.at, &a.vm).cmp(&(b.at, &b.vm)));
+    events
+}
+
+fn summary(version: &VersionKey, events: &[EventRecord]) -> (usize, &'static str) {
+    let stopped = |record: &EventRecord| matches!(&record.event, Event::VersionStopped { version: v, .. } if v == version);
+    let closing = match events.iter().any(stopped) {
+        true => " It was stopped on evidence; a ticket with a newer number may open it again.",
+        false => " No stop on evidence is among them.",
+    };
+    (events.len(), closing)
 }
 
 fn sentence(record: &EventRecord) -> Option<String> {
@@ -36,6 +114,19 @@
             format!("The whole answer went out: {tokens} events.")
         }
         Event::CallerLeft { .. } => "The caller left before the answer was whole.".to_owned(),
+        Event::TicketAccepted { ticket, revision } => {
+            format!("{vm}, the leader, accepted ticket {ticket} as revision {revision}.")
+        }
+        Event::TicketRefused { ticket, reason } => {
+            format!("{vm}, the leader, refused ticket {ticket} whole: {reason}.")
+        }
+        Event::TicketInForce { ticket, revision } => {
+            format!("Ticket {ticket} was seen in force everywhere at revision {revision}.")
+        }
+        Event::RevisionInstalled { revision } => format!("{vm} works under revision {revision}."),
+        Event::VersionStopped { version, evidence } => {
+            format!("Version {version} was stopped on evidence: {evidence}.")
+        }
         _ => return None,
     };
     Some(text)
--- a/src/operator/front.rs
+++ b/src/operator/front.rs
@@ -1,10 +1,10 @@
-use super::{collect, explain};
+use super::{Subject, collect, explain};
 use crate::caller::json;
 use crate::control::Ticket;
 use crate::daemon::Node;
 use crate::error::Error;
 use crate::event::EventQuery;
-use crate::name::{OrganisationName, RequestId};
+use crate::name::{OrganisationName, RequestId, VersionKey};
 use crate::peer::{NodeStatus, OperatorCall, OperatorReply};
 use bytes::BytesMut;
 use http::{HeaderMap, Method};
@@ -23,6 +23,8 @@
 
 /// The largest ticket, in bytes.
 const TICKET_BYTES: usize = 4 << 20;
+/// How long an operator may take to send a ticket.
+const TICKET_LIMIT: Duration = Duration::from_secs(10);
 /// How long another daemon may take to say how it is.
 const STATUS_LIMIT: Duration = Duration::from_secs(1);
 /// How long a wait for `in force` may be asked to last.
@@ -125,10 +127,16 @@
         ("GET", ["v1", "timeline"]) => document(&collect(node, &event_query(query)?).await),
         ("GET", ["v1", "explain", id]) => {
             let request = RequestId::parse(id).ok_or_else(|| bad("a request has 32 hex digits"))?;
-            let query = EventQuery { request: Some(request), ..EventQuery::default() };
-            let timeline = collect(node, &query).await;
-            let lines = explain(&timeline.events);
-            document(&serde_json::json!({ "lines": lines, "missing": timeline.missing }))
+            document(&explain(node, &Subject::Request(request)).await)
+        }
+        ("GET", ["v1", "explain", "ticket", number]) => {
+            let number = number.parse().map_err(|_| bad("a ticket's number is a whole number"))?;
+            document(&explain(node, &Subject::Ticket(number)).await)
+        }
+        ("GET", ["v1", "explain", "version", model, version]) => {
+            let key = VersionKey::parse(&format!("{model}/{version}"));
+            let key = key.ok_or_else(|| bad("a version is model/version"))?;
+            document(&explain(node, &Subject::Version(key)).await)
         }
         _ => Err(Problem(404, format!("there is no {method} {path}"))),
     }
@@ -184,6 +192,12 @@
 }
 
 async fn read_ticket(body: RequestBody) -> Result<Ticket, Problem> {
+    let slow = || Problem(408, format!("the ticket did not arrive within {TICKET_LIMIT:?}"));
+    let read = tokio::time::timeout(TICKET_LIMIT, read_ticket_body(body));
+    read.await.unwrap_or_else(|_| Err(slow()))
+}
+
+async fn read_ticket_body(body: RequestBody) -> Result<Ticket, Problem> {
     let mut body = pin!(body);
     let mut bytes = BytesMut::new();
     while let Some(piece) = body.as_mut().data().await {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -4,6 +4,6 @@
 mod front;
 mod timeline;
 
-pub use explain::explain;
+pub use explain::{Explanation, Subject, explain};
 pub use front::serve;
 pub use timeline::{Timeline, collect};
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -80,7 +80,7 @@
     journal: Arc<Journal>,
 ) {
     loop {
-        if let Some((client, identity)) = open(&link, &secret, &own).await {
+        if let Some((client, identity)) = open(&link, &secret, &own, &journal).await {
             watch(&link, client, identity).await;
             link.set(None);
             journal.record(Event::PeerSilent { peer: link.address.to_string() });
@@ -93,6 +93,7 @@
     link: &Link,
     secret: &str,
     own: &RwLock<PeerIdentity>,
+    journal: &Arc<Journal>,
 ) -> Option<(PeerClient, PeerIdentity)> {
     let dial = TcpStream::connect(link.address);
     let stream = tokio::time::timeout(CONNECT_LIMIT, dial).await.ok()?.ok()?;
@@ -104,7 +105,7 @@
             return None;
         }
     };
-    let transport = tarpc::serde_transport::new(framed, Postcard);
+    let transport = tarpc::serde_transport::new(framed, Postcard::open(journal.clone()));
     let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
     Some((client, identity))
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -149,6 +149,15 @@
     pub evidence: String,
 }
 
+/// Events that a daemon selected. Each is a line of JSON, since events describe themselves.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EventAnswer {
+    /// The events, oldest first.
+    pub lines: Vec<String>,
+    /// Whether older ones were left out because there are too many.
+    pub truncated: bool,
+}
+
 /// One group as a daemon sees it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GroupView {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,8 +16,8 @@
 pub use identity::PeerIdentity;
 pub use link::Link;
 pub use message::{
-    EvidenceView, GroupView, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply,
-    StoppedVersion, SubmitAnswer,
+    EventAnswer, EvidenceView, GroupView, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall,
+    OperatorReply, StoppedVersion, SubmitAnswer,
 };
 pub use net::PeerNet;
 pub use outbox::dispatch;
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -3,7 +3,8 @@
 #![allow(missing_docs, reason = "the macro generates undocumented items")]
 
 use super::{
-    LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply, PeerIdentity, SubmitAnswer,
+    EventAnswer, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply, PeerIdentity,
+    SubmitAnswer,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -24,6 +25,6 @@
     async fn operate(call: OperatorCall) -> OperatorReply;
     /// Says how this daemon is.
     async fn status() -> NodeStatus;
-    /// Selects events; each is a line of JSON.
-    async fn events(query: EventQuery) -> Vec<String>;
+    /// Selects events.
+    async fn events(query: EventQuery) -> EventAnswer;
 }
--- a/src/route/chat.rs
+++ b/src/route/chat.rs
@@ -39,6 +39,9 @@
             organisation: request.meta.organisation.clone(),
             kind: request.meta.kind.to_string(),
         });
+        if let Some(session) = request.meta.session.clone() {
+            self.journal.record(Event::SessionJoined { request: id, session });
+        }
         let mut unsent = Some(unsent);
         for _ in 0..PLANS {
             match self.serve_planned(&request, &mut unsent, &counted).await {
--- a/src/route/service_call.rs
+++ b/src/route/service_call.rs
@@ -46,6 +46,9 @@
             organisation: request.meta.organisation.clone(),
             kind: request.service.to_string(),
         });
+        if let Some(session) = request.meta.session.clone() {
+            self.journal.record(Event::SessionJoined { request: id, session });
+        }
         let served = self.serve_call(&request, unsent).await;
         served.unwrap_or_else(|refusal| self.refuse(id, refusal))
     }
--- /dev/null
+++ b/tests/timeline.rs
@@ -0,0 +1,223 @@
+//! The time line: causal order through clock skew, bounds, restarts.
+
+use proptest::prelude::*;
+use samphireshift::event::{Clock, DRIFT_LIMIT, Event, EventQuery, Journal, Stamp};
+use samphireshift::name::{OrganisationName, RequestId, SessionName, VersionKey, VmName};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+const EPOCH: u64 = 1_700_000_000_000;
+const VMS: usize = 4;
+
+/// One step of a random history.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Something happens on a VM.
+    Local(usize),
+    /// A message goes from the first VM to the second.
+    Message(usize, usize),
+    /// True time passes, in milliseconds.
+    Pass(u64),
+    /// A VM's wall clock is set, in milliseconds from the true time.
+    Set(usize, i64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let skew = DRIFT_LIMIT as i64 / 2;
+    let step = prop_oneof![
+        (0..VMS).prop_map(Step::Local),
+        (0..VMS, 0..VMS).prop_map(|(from, to)| Step::Message(from, to)),
+        (0..500_u64).prop_map(Step::Pass),
+        (0..VMS, -skew..skew).prop_map(|(vm, skew)| Step::Set(vm, skew)),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(6), ..ProptestConfig::default() })]
+
+    /// The stamp of an effect is larger than that of each of its causes, which vector clocks know.
+    #[test]
+    fn stamps_respect_causes_through_clock_skew(steps in steps()) {
+        let clocks: Vec<Clock> = (0..VMS).map(|_| Clock::default()).collect();
+        let (mut time, mut skews) = (EPOCH, [0_i64; VMS]);
+        let mut vectors = [[0_u64; VMS]; VMS];
+        let mut seen: Vec<([u64; VMS], Stamp)> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Pass(millis) => time += millis,
+                Step::Set(vm, skew) => skews[vm] = skew,
+                Step::Local(vm) | Step::Message(vm, _) => {
+                    vectors[vm][vm] += 1;
+                    let wall = |vm: usize| time.saturating_add_signed(skews[vm]);
+                    let stamp = clocks[vm].now_at(wall(vm));
+                    seen.push((vectors[vm], stamp));
+                    if let Step::Message(_, to) = step {
+                        prop_assert_eq!(clocks[to].observe_at(wall(to), stamp), Ok(()));
+                        let sent = vectors[vm];
+                        vectors[to].iter_mut().zip(sent).for_each(|(own, other)| *own = (*own).max(other));
+                    }
+                }
+            }
+        }
+        for (cause, before) in &seen {
+            for (effect, after) in &seen {
+                let precedes = cause != effect && cause.iter().zip(effect).all(|(a, b)| a <= b);
+                prop_assert!(!precedes || before < after, "{before} is not before {after}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_stamp_too_far_ahead_is_not_followed() {
+    let clock = Clock::default();
+    let near = Stamp { millis: EPOCH + DRIFT_LIMIT, counter: 0 };
+    let far = Stamp { millis: EPOCH + DRIFT_LIMIT + 1, counter: 0 };
+    assert_eq!(clock.observe_at(EPOCH, far).unwrap_err().ahead, DRIFT_LIMIT + 1);
+    assert_eq!(clock.now_at(EPOCH), Stamp { millis: EPOCH, counter: 0 });
+    clock.observe_at(EPOCH, near).unwrap();
+    assert!(clock.now_at(EPOCH) > near);
+}
+
+#[test]
+fn a_broken_clock_elsewhere_is_reported_once_in_a_while() {
+    let journal = Journal::open(VmName::new("a"));
+    let broken = Stamp { millis: u64::MAX, counter: u32::MAX };
+    (0..100).for_each(|_| journal.observe(broken));
+    let page = journal.select(&EventQuery::default());
+    assert_eq!(page.events.len(), 1);
+    assert_eq!(page.events[0].event.name(), "stamp_refused");
+    assert!(page.events[0].at.millis < broken.millis);
+}
+
+/// A folder of this test's own, removed at the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let name = format!("samphireshift-events-{name}-{}", std::process::id());
+        Self(std::env::temp_dir().join(name))
+    }
+
+    fn open(&self) -> Journal {
+        Journal::open_in(VmName::new("a"), &self.0).unwrap()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // A folder that stays behind harms nobody.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn ticket(number: u64) -> Event {
+    Event::TicketAccepted { ticket: number, revision: number }
+}
+
+#[test]
+fn events_and_the_clock_survive_a_restart_and_a_torn_line() {
+    let folder = Folder::new("restart");
+    let journal = folder.open();
+    let ahead = Stamp { millis: journal.stamp().millis + DRIFT_LIMIT / 2, counter: 9 };
+    journal.observe(ahead);
+    journal.record(ticket(1));
+    journal.flush();
+    journal.record(ticket(2));
+    let last = journal.stamp();
+    drop(journal);
+    let file = folder.0.join("events.jsonl");
+    let mut bytes = std::fs::read(&file).unwrap();
+    bytes.extend_from_slice(b"{\"at\":{\"millis\":17");
+    std::fs::write(&file, bytes).unwrap();
+    for round in 0..2 {
+        let journal = folder.open();
+        assert!(journal.stamp() > last, "the clock went back in round {round}");
+        journal.record(ticket(10 + round));
+        journal.flush();
+    }
+    let page = folder.open().select(&EventQuery::default());
+    let tickets: Vec<_> = page.events.iter().filter_map(|record| record.event.ticket()).collect();
+    // The second one had not been written when the process ended.
+    assert_eq!(tickets, [1, 10, 11]);
+    assert!(page.events.windows(2).all(|pair| pair[0].at < pair[1].at));
+}
+
+#[test]
+fn memory_and_files_are_bounded_and_truncation_is_said() {
+    let folder = Folder::new("bounds");
+    let journal = folder.open();
+    for number in 0..120_000 {
+        journal.record(ticket(number));
+        if number % 5_000 == 0 {
+            journal.flush();
+        }
+    }
+    journal.flush();
+    let sizes = std::fs::read_dir(&folder.0).unwrap().map(|f| f.unwrap().metadata().unwrap().len());
+    let total: u64 = sizes.sum();
+    assert!(total < 9 << 20, "{total} bytes");
+    let page = journal.select(&EventQuery::default());
+    assert!(page.truncated && page.events.len() == 5_000);
+    assert_eq!(page.events.last().unwrap().event.ticket(), Some(119_999));
+    let few = journal.select(&EventQuery { most: Some(3), ..EventQuery::default() });
+    assert!(few.truncated && few.events.len() == 3);
+    let one = EventQuery { ticket: Some(110_000), ..EventQuery::default() };
+    assert!(!journal.select(&one).truncated && journal.select(&one).events.len() == 1);
+    let gone = EventQuery { ticket: Some(0), ..EventQuery::default() };
+    assert_eq!(journal.select(&gone).events, []);
+}
+
+/// A filter and the numbers of the events that it selects.
+struct Case {
+    query: EventQuery,
+    numbers: &'static [u16],
+}
+
+#[test]
+fn each_filter_selects_its_events() {
+    let (mine, other) = (RequestId::random(), RequestId::random());
+    let key = VersionKey::parse("m/v").unwrap();
+    let session = SessionName::new("s");
+    let journal = Arc::new(Journal::open(VmName::new("a")));
+    for request in [mine, other] {
+        let (organisation, kind) = (OrganisationName::new("o"), "k".to_owned());
+        journal.record(Event::RequestAdmitted { request, organisation, kind });
+    }
+    journal.record(Event::SessionJoined { request: mine, session: session.clone() });
+    let reason = "r".to_owned();
+    journal.record(Event::VersionChosen { request: other, version: key.clone(), reason });
+    journal.record(Event::AnswerBilled { request: mine, cost: 1 });
+    journal.record(ticket(7));
+    let all = EventQuery::default();
+    let last = journal.select(&all).events.last().unwrap().at;
+    let vm = |name: &str| Some(VmName::new(name));
+    let after = [(VmName::new("a"), last)].into();
+    let cases = [
+        Case { query: all.clone(), numbers: &[40, 40, 52, 43, 49, 30] },
+        Case { query: EventQuery { request: Some(mine), ..all.clone() }, numbers: &[40, 52, 49] },
+        Case {
+            query: EventQuery { session: Some(session), ..all.clone() },
+            numbers: &[40, 52, 49],
+        },
+        Case { query: EventQuery { version: Some(key), ..all.clone() }, numbers: &[43] },
+        Case { query: EventQuery { ticket: Some(7), ..all.clone() }, numbers: &[30] },
+        Case { query: EventQuery { ticket: Some(8), ..all.clone() }, numbers: &[] },
+        Case { query: EventQuery { vm: vm("a"), most: Some(1), ..all.clone() }, numbers: &[30] },
+        Case { query: EventQuery { vm: vm("b"), ..all.clone() }, numbers: &[] },
+        Case { query: EventQuery { number: Some(43), ..all.clone() }, numbers: &[43] },
+        Case {
+            query: EventQuery { name: Some("answer_billed".into()), ..all.clone() },
+            numbers: &[49],
+        },
+        Case { query: EventQuery { since: Some(last.millis + 1), ..all.clone() }, numbers: &[] },
+        Case { query: EventQuery { until: Some(1), ..all.clone() }, numbers: &[] },
+        Case { query: EventQuery { after, ..all.clone() }, numbers: &[] },
+    ];
+    for Case { query, numbers } in cases {
+        let page = journal.select(&query);
+        let found: Vec<u16> = page.events.iter().map(|record| record.number).collect();
+        assert_eq!(found, numbers, "{query:?}");
+    }
+}
