--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -36,11 +36,33 @@
         print_daemon(daemon);
     }
     for missing in list(&fleet["missing"]) {
-        println!("{}: not reached", text(missing));
+        println!("{}: not reached; what it does is unknown", text(missing));
     }
+    faults(&fleet).iter().for_each(|fault| println!("attention: {fault}"));
     Ok(())
 }
 
+/// What an operator should look at.
+fn faults(fleet: &Value) -> Vec<String> {
+    let daemons = list(&fleet["daemons"]);
+    let newest = daemons.iter().filter_map(|daemon| daemon["revision"].as_u64()).max().unwrap_or(0);
+    let mut out = Vec::new();
+    for daemon in daemons {
+        let name = text(&daemon["vm"]);
+        if daemon["lease"] == 0 {
+            out.push(format!("{name} has no lease and refuses requests"));
+        } else if daemon["revision"].as_u64() < Some(newest) {
+            out.push(format!("{name} works under {}, others under {newest}", daemon["revision"]));
+        }
+    }
+    let leads =
+        |daemon: &&Value| list(&daemon["groups"]).iter().any(|group| group["leading"] == true);
+    if !daemons.iter().any(|daemon| leads(&daemon)) {
+        out.push("no group has a leader among the daemons reached".to_owned());
+    }
+    out
+}
+
 fn print_daemon(daemon: &Value) {
     let disk = if daemon["durable"] == true { "disk" } else { "diskless" };
     let state = if daemon["draining"] == true { "stopping" } else { "serving" };
@@ -55,12 +77,13 @@
     for group in list(&daemon["groups"]) {
         let role = if group["leading"] == true { "leads" } else { "follows" };
         println!(
-            "  {}: {role}, term {}, leader {}, commit {}, voters {}",
+            "  {}: {role}, term {}, leader {}, commit {}, voters {}, learners {}",
             group_name(&group["group"]),
             group["term"],
             text(&group["leader"]),
             group["commit"],
             names(&group["voters"]),
+            names(&group["learners"]),
         );
     }
 }
@@ -74,7 +97,10 @@
 
 fn names(value: &Value) -> String {
     let names: Vec<&str> = list(value).iter().map(text).collect();
-    names.join(", ")
+    match names.is_empty() {
+        true => "none".to_owned(),
+        false => names.join(", "),
+    }
 }
 
 fn list(value: &Value) -> &[Value] {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod fleet;
 mod options;
+mod picture;
 mod ticket;
 mod versions;
 
@@ -25,14 +26,21 @@
     match &options.command {
         Command::Check(check) => {
             Settings::load(&check.settings)?;
-            println!("{}: the settings are right", check.settings.display());
+            let file = check.settings.display().to_string();
+            match options.json {
+                true => println!("{}", serde_json::json!({ "file": file, "right": true })),
+                false => println!("{file}: the settings are right"),
+            }
             Ok(())
         }
         Command::HashKey(hash) => {
             let Ok(Value::String(text)) = serde_json::to_value(KeyHash::of(&hash.key)) else {
                 return Err(Error::Input { message: "the key cannot be hashed".to_owned() });
             };
-            println!("{text}");
+            match options.json {
+                true => println!("{}", serde_json::json!({ "hash": text })),
+                false => println!("{text}"),
+            }
             Ok(())
         }
         Command::Found(_) => fleet::found(&Client::open(options)?),
@@ -40,6 +48,7 @@
         Command::Status(_) => fleet::status(&Client::open(options)?),
         Command::Ticket(command) => ticket::run(&Client::open(options)?, command),
         Command::Versions(_) => versions::run(&Client::open(options)?),
+        Command::Rollouts(_) => versions::rollouts(&Client::open(options)?),
         Command::Bills(bills) => bills::run(&Client::open(options)?, bills),
         Command::Timeline(timeline) => events::timeline(&Client::open(options)?, timeline),
         Command::Explain(explain) => events::explain(&Client::open(options)?, explain),
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -37,6 +37,8 @@
     Ticket(Ticket),
     /// Show versions and roll-outs.
     Versions(Versions),
+    /// Show roll-outs.
+    Rollouts(Rollouts),
     /// Show bills.
     Bills(Bills),
     /// Show what happened.
@@ -103,7 +105,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "apply")]
 pub struct TicketApply {
-    /// the ticket, a JSON file
+    /// the ticket, a JSON file; '-' for the standard input
     #[argh(positional)]
     pub file: PathBuf,
     /// only say what would happen
@@ -133,6 +135,11 @@
 #[argh(subcommand, name = "versions")]
 pub struct Versions {}
 
+/// Show roll-outs with the step, share and state of each.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "rollouts")]
+pub struct Rollouts {}
+
 /// Show what each organisation was billed, or every bill of one.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "bills")]
@@ -161,16 +168,43 @@
     /// only events of this VM
     #[argh(option)]
     pub vm: Option<String>,
-    /// only events at or after this time, in milliseconds since 1970
+    /// only events at or after this time: milliseconds since 1970, or a time ago such as 5m
+    #[argh(option)]
+    pub since: Option<String>,
+    /// only events before this time, given as for --since
+    #[argh(option)]
+    pub until: Option<String>,
+    /// only events of this number, see docs/EVENTS.md
+    #[argh(option)]
+    pub number: Option<u16>,
+    /// only events of this name, see docs/EVENTS.md
+    #[argh(option)]
+    pub name: Option<String>,
+    /// at most this many of the newest of each daemon
+    #[argh(option)]
+    pub most: Option<u32>,
+    /// go on showing events as they happen
+    #[argh(switch)]
+    pub follow: bool,
+    /// with --follow: how often to look before ending; default without end
+    #[argh(option)]
+    pub times: Option<u64>,
+    /// also draw the events to this SVG file
     #[argh(option)]
-    pub since: Option<u64>,
+    pub svg: Option<PathBuf>,
 }
 
-/// Say in words what became of a request.
+/// Say in words what became of a request, a ticket or a version.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct Explain {
     /// the request, as the header x-request-id gave it
     #[argh(positional)]
-    pub request: String,
+    pub request: Option<String>,
+    /// explain this ticket instead
+    #[argh(option)]
+    pub ticket: Option<u64>,
+    /// explain this version instead, as model/version, with the evidence where it was stopped
+    #[argh(option)]
+    pub version: Option<String>,
 }
--- a/src/cli/ticket.rs
+++ b/src/cli/ticket.rs
@@ -4,9 +4,14 @@
 use super::options::{Ticket as TicketOptions, TicketApply, TicketCommand};
 use crate::control::{Ticket, TicketAnswer, TicketRecord};
 use crate::error::Error;
+use bytes::Bytes;
 use serde_json::Value;
+use std::time::Duration;
 
 const MILLIS_PER_SECOND: u64 = 1_000;
+/// How often a ticket is sent again after a lost answer.
+const RESENDS: usize = 3;
+const RESEND_AFTER: Duration = Duration::from_millis(300);
 
 /// Carries out a ticket command.
 pub fn run(client: &Client, options: &TicketOptions) -> Result<(), Error> {
@@ -39,7 +44,7 @@
         Error::Input { message }
     })?;
     let query = if options.dry_run { "?dry_run=true" } else { "" };
-    let answer = client.post(&format!("/v1/tickets{query}"), bytes.into())?;
+    let answer = send(client, &format!("/v1/tickets{query}"), bytes.into())?;
     let decoded: TicketAnswer = decode(answer.clone())?;
     let revision = match decoded {
         TicketAnswer::Accepted { revision } => revision,
@@ -53,6 +58,27 @@
     await_in_force(client, &ticket, revision, options.wait)
 }
 
+/// Sends a ticket again where its answer was lost; the same ticket gets the same answer.
+fn send(client: &Client, path: &str, bytes: Bytes) -> Result<Value, Error> {
+    let mut last = client.post(path, bytes.clone());
+    for _ in 0..RESENDS {
+        if !matches!(last, Err(Error::Unreachable { .. })) {
+            return last;
+        }
+        std::thread::sleep(RESEND_AFTER);
+        last = client.post(path, bytes.clone());
+    }
+    match last {
+        Err(Error::Unreachable { address, cause }) => {
+            let cause = format!(
+                "{cause} (whether the ticket was accepted is unknown; send the same ticket again, also through another daemon)"
+            );
+            Err(Error::Unreachable { address, cause })
+        }
+        last => last,
+    }
+}
+
 fn await_in_force(client: &Client, ticket: &Ticket, revision: u64, wait: u64) -> Result<(), Error> {
     let number = ticket.number;
     let path = format!("/v1/in-force/{revision}?wait={}", wait * MILLIS_PER_SECOND);
--- a/src/cli/versions.rs
+++ b/src/cli/versions.rs
@@ -1,7 +1,8 @@
-//! `versions`.
+//! `versions` and `rollouts`.
 
 use super::Client;
 use crate::error::Error;
+use serde_json::Value;
 
 /// Shows versions and roll-outs.
 pub fn run(client: &Client) -> Result<(), Error> {
@@ -23,14 +24,30 @@
             version["price"]["answer"],
         );
     }
+    print_rollouts(&config);
+    Ok(())
+}
+
+/// Shows roll-outs.
+pub fn rollouts(client: &Client) -> Result<(), Error> {
+    let config = client.get("/v1/config")?;
+    match client.wants_json() {
+        true => println!("{}", config["rollouts"]),
+        false => print_rollouts(&config),
+    }
+    Ok(())
+}
+
+fn print_rollouts(config: &Value) {
     for rollout in config["rollouts"].as_array().into_iter().flatten() {
         println!(
-            "roll-out {}: {}, step {} of {}",
+            "roll-out {} from {} to {}: {}, step {} of {}",
             rollout["name"].as_str().unwrap_or(""),
+            rollout["from"].as_str().unwrap_or(""),
+            rollout["to"].as_str().unwrap_or(""),
             rollout["status"].as_str().unwrap_or(""),
             rollout["step"],
             rollout["steps"],
         );
     }
-    Ok(())
 }
