--- /dev/null
+++ b/tests/fuzz.rs
@@ -0,0 +1,195 @@
+//! Each parser of outside bytes gets random and mutated input: no panic, no runaway memory.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use samphireshift::backend::{EventStream, LoadReport, usage_of};
+use samphireshift::consensus::MemberId;
+use samphireshift::control::{ControlCommand, Ticket};
+use samphireshift::event::{EventQuery, EventRecord, Stamp};
+use samphireshift::group::Envelope;
+use samphireshift::ledger::LedgerCommand;
+use samphireshift::name::{DataCentre, RequestId, VersionKey, VmName};
+use samphireshift::peer::{
+    EventAnswer, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply, PeerIdentity,
+    SubmitAnswer,
+};
+use samphireshift::platform::Vm;
+use samphireshift::settings::{Settings, parse_duration, parse_size};
+use samphireshift::storage::{DataFolder, StorageError};
+use serde_json::json;
+
+/// Texts that look like what the parsers read.
+const TEXTS: [&str; 7] = [
+    "[vm]\nname = a\n[lease]\nduration = 2s\n",
+    r#"{"number":1,"author":"a","versions":[{"model":"m","version":"v","pool":"p","state":"open","quality":0.5,"price":{"prompt":1,"answer":1}}]}"#,
+    r#"{"ticket":7,"since":1,"after":{"a":{"millis":1,"counter":2}}}"#,
+    r#"[{"vm":"a","address":"10.0.0.1:1","data_centre":"d","pool":"p","state":"live"}]"#,
+    r#"{"running":1,"waiting":2,"slots":3,"memory":0.5,"versions":["m/v"]}"#,
+    r#"{"usage":{"prompt_tokens":1,"completion_tokens":2}}"#,
+    "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: {\"usage\":{\"prompt_tokens\":1}}\n\ndata: [DONE]\n\n",
+];
+
+fn seeded(cases: u32) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(6);
+    ProptestConfig { cases, failure_persistence: None, rng_seed, ..ProptestConfig::default() }
+}
+
+/// A text of `TEXTS` with a few bytes changed, cut or doubled.
+fn mutated() -> impl Strategy<Value = Vec<u8>> {
+    let changes = prop::collection::vec((any::<prop::sample::Index>(), any::<u8>(), 0..3_u8), 0..6);
+    (prop::sample::select(&TEXTS[..]), changes).prop_map(|(text, changes)| {
+        let mut bytes = text.as_bytes().to_vec();
+        for (at, byte, kind) in changes {
+            let at = at.index(bytes.len() + 1).min(bytes.len().saturating_sub(1));
+            match kind {
+                0 if !bytes.is_empty() => bytes[at] = byte,
+                1 => bytes.truncate(at),
+                _ => bytes.extend_from_within(at..),
+            }
+        }
+        bytes
+    })
+}
+
+fn read_all_texts(bytes: &[u8]) {
+    // Only that each call returns is of interest here.
+    let text = String::from_utf8_lossy(bytes);
+    let _ = Settings::parse("fuzz", &text);
+    let _ = (parse_duration(&text), parse_size(&text));
+    let _ = (VersionKey::parse(&text), RequestId::parse(&text));
+    let _ = serde_json::from_slice::<Ticket>(bytes);
+    let _ = serde_json::from_slice::<EventQuery>(bytes);
+    let _ = serde_json::from_slice::<EventRecord>(bytes);
+    let _ = serde_json::from_slice::<Vec<Vm>>(bytes);
+    let _ = serde_json::from_slice::<LoadReport>(bytes);
+    let _ = usage_of(bytes);
+}
+
+fn read_all_messages(bytes: &[u8]) {
+    let _ = postcard::from_bytes::<(Stamp, Vec<Envelope>)>(bytes);
+    let _ = postcard::from_bytes::<PeerIdentity>(bytes);
+    let _ = postcard::from_bytes::<LeaseAsk>(bytes);
+    let _ = postcard::from_bytes::<LeaseAnswer>(bytes);
+    let _ = postcard::from_bytes::<SubmitAnswer>(bytes);
+    let _ = postcard::from_bytes::<OperatorCall>(bytes);
+    let _ = postcard::from_bytes::<OperatorReply>(bytes);
+    let _ = postcard::from_bytes::<NodeStatus>(bytes);
+    let _ = postcard::from_bytes::<EventQuery>(bytes);
+    let _ = postcard::from_bytes::<EventAnswer>(bytes);
+    let _ = postcard::from_bytes::<ControlCommand>(bytes);
+    let _ = postcard::from_bytes::<LedgerCommand>(bytes);
+}
+
+/// What a cut stream gave: bytes of events, their count, whether the end came.
+fn relayed(pieces: &[&[u8]]) -> Option<(Vec<u8>, u64, bool)> {
+    let mut stream = EventStream::default();
+    let (mut events, mut count) = (Vec::new(), 0);
+    for piece in pieces {
+        let cut = stream.push(piece)?;
+        events.extend_from_slice(&cut.events);
+        count += cut.count;
+        if cut.done {
+            return Some((events, count, true));
+        }
+    }
+    Some((events, count, false))
+}
+
+proptest! {
+    #![proptest_config(seeded(512))]
+
+    #[test]
+    fn texts_of_any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        read_all_texts(&bytes);
+    }
+
+    #[test]
+    fn mutated_texts_are_read_or_refused(bytes in mutated()) {
+        read_all_texts(&bytes);
+        let _ = relayed(&[&bytes]);
+    }
+
+    #[test]
+    fn names_read_back_as_they_were_written(model in "[^/]{1,20}", version in ".{1,20}", id: u128) {
+        let text = format!("{model}/{version}");
+        prop_assert_eq!(VersionKey::parse(&text).map(|key| key.to_string()), Some(text));
+        let text = format!("{id:032x}");
+        prop_assert_eq!(RequestId::parse(&text).map(|id| id.to_string()), Some(text));
+    }
+
+    #[test]
+    fn units_are_exact_or_refused(number: u64, unit in "(ms|s|m|h|B|KiB|MiB|d|)") {
+        let text = format!("{number}{unit}");
+        let factor = match unit.as_str() { "ms" => 1, "s" => 1_000, "m" => 60_000, "h" => 3_600_000, _ => 0 };
+        let expected = number.checked_mul(factor).filter(|_| factor > 0);
+        prop_assert_eq!(parse_duration(&text).map(|d| d.as_millis()), expected.map(u128::from));
+        let factor = match unit.as_str() { "B" => 1, "KiB" => 1 << 10, "MiB" => 1 << 20, _ => 0 };
+        let expected = number.checked_mul(factor).filter(|_| factor > 0);
+        prop_assert_eq!(parse_size(&text).map(|n| n as u64), expected);
+    }
+
+    #[test]
+    fn messages_of_any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        read_all_messages(&bytes);
+    }
+
+    /// A length of its own choice does not make a message allocate what it did not send.
+    #[test]
+    fn lengths_that_lie_are_refused(head in prop::collection::vec(any::<u8>(), 0..8), tail in 0..16_usize) {
+        let mut bytes = head;
+        bytes.extend([0xff; 9]);
+        bytes.push(0x01);
+        bytes.extend(vec![0x41; tail]);
+        read_all_messages(&bytes);
+    }
+
+    /// However an engine's stream is cut into packets, the same events come out.
+    #[test]
+    fn packets_do_not_change_a_stream(events in 0..12_usize, cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..8)) {
+        let mut text = String::new();
+        (0..events).for_each(|i| text.push_str(&format!("data: {{\"n\":{i}}}\n\n")));
+        let content = text.clone();
+        text.push_str("data: {\"usage\":{\"prompt_tokens\":1}}\n\ndata: [DONE]\n\n");
+        let mut places: Vec<usize> = cuts.iter().map(|cut| cut.index(text.len())).collect();
+        places.extend([0, text.len()]);
+        places.sort_unstable();
+        let pieces: Vec<&[u8]> = places.windows(2).map(|pair| &text.as_bytes()[pair[0]..pair[1]]).collect();
+        prop_assert_eq!(relayed(&pieces), Some((content.into_bytes(), events as u64, true)));
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded(64))]
+
+    /// A log of any bytes is opened, cut or refused.
+    #[test]
+    fn logs_of_any_bytes_are_opened_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..400), salt: u64) {
+        let path = std::env::temp_dir().join(format!("samphireshift-fuzz-{}-{salt}", std::process::id()));
+        let opened = open_log(&path, &bytes);
+        std::fs::remove_dir_all(&path).unwrap();
+        prop_assert!(matches!(opened, Ok(()) | Err(StorageError::Damaged { .. })), "{:?}", opened);
+    }
+}
+
+fn open_log(path: &std::path::Path, bytes: &[u8]) -> Result<(), StorageError> {
+    std::fs::create_dir_all(path.join("control")).unwrap();
+    std::fs::write(path.join("control").join("log"), bytes).unwrap();
+    DataFolder::open(path, &VmName::new("a"))?.group("control").map(|_| ())
+}
+
+#[test]
+fn a_message_reads_back_as_it_was_sent() {
+    let identity = PeerIdentity {
+        vm: VmName::new("a"),
+        member: MemberId(7),
+        run: 9,
+        data_centre: DataCentre::new("d"),
+        durable: true,
+        cluster: Some(u128::MAX),
+    };
+    let bytes = postcard::to_stdvec(&(Stamp { millis: 1, counter: 2 }, &identity)).unwrap();
+    let (_, read): (Stamp, PeerIdentity) = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read, identity);
+    let query = json!({ "ticket": 7, "unknown": 1 });
+    assert!(serde_json::from_value::<EventQuery>(query).is_err(), "a misspelt filter is refused");
+}
