--- a/examples/slopes/state.rs
+++ b/examples/slopes/state.rs
@@ -48,6 +48,8 @@
         "  {size} {what}s: {memory:.0} B of memory and {:.0} B of snapshot each, {micros:.2} us to apply, {millis:.0} ms for one snapshot",
         snapshot / size as f64
     );
+    // Kept, so that the next kind does not get its memory.
+    std::mem::forget(state);
 }
 
 /// Size of a configuration of 36 versions for several numbers of organisations.
