--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -108,6 +108,19 @@
         Event::AttemptFailed { server, reason, .. } => {
             format!("The attempt at {server} failed: {reason}.")
         }
+        Event::SessionJoined { session, .. } => format!("It belongs to session {session}."),
+        Event::AnswerEscalated { version, quality: Some(quality), .. } => {
+            format!("The answer was rated {quality:.2} only, so version {version} is asked.")
+        }
+        Event::AnswerEscalated { version, .. } => {
+            format!("The answer could not be rated, so version {version} is asked.")
+        }
+        Event::VersionHeld { version, evidence } => {
+            format!("{vm} holds version {version} back: {evidence}.")
+        }
+        Event::VersionKept { version, evidence } => {
+            format!("{vm}, the leader, kept version {version}: {evidence}.")
+        }
         Event::AnswerRated { quality, .. } => format!("The answer was rated {quality:.2}."),
         Event::AnswerBilled { cost, .. } => format!("It was billed once, at {cost} millionths."),
         Event::AnswerRelayed { tokens, .. } => {
