--- a/examples/slopes/state.rs
+++ b/examples/slopes/state.rs
@@ -1,7 +1,7 @@
 //! Memory and snapshot size of replicated state.
 
 use samphireshift::control::{Config, Model, Organisation};
-use samphireshift::ledger::{Bill, LedgerCommand, LedgerState};
+use samphireshift::ledger::{Bill, LedgerCommand, LedgerState, Pin, PinState};
 use samphireshift::name::{ModelName, OrganisationName, RequestId, SessionName, VersionKey};
 use serde_json::json;
 use std::time::Instant;
@@ -24,7 +24,7 @@
     ledger(size, "pin", |i| LedgerCommand::Pin {
         organisation: organisation.clone(),
         session: SessionName::new(format!("payee-{i:012}")),
-        version: version.clone(),
+        pin: Pin { version: version.clone(), state: PinState::Final },
     });
     config();
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -80,11 +80,25 @@
 #[case::size_unit("[vm]", "[limits]\nbody = 5GB\n[vm]", "limits", "body", "in B, KiB or MiB")]
 #[case::short_lease(
     "[vm]",
-    "[lease]\nduration = 500ms\nrenew = 200ms\n[vm]",
+    "[lease]\nduration = 1800ms\nrenew = 700ms\n[vm]",
     "lease",
     "duration",
     "3 times 'renew'"
 )]
+#[case::slow_fail_over(
+    "[vm]",
+    "[consensus]\nelection = 1s\n[vm]",
+    "lease",
+    "duration",
+    "3 times 'election'"
+)]
+#[case::late_heartbeat(
+    "[vm]",
+    "[consensus]\nheartbeat = 201ms\n[vm]",
+    "consensus",
+    "election",
+    "3 times 'heartbeat'"
+)]
 #[case::bad_list(
     "http://10.0.9.9:80",
     "http://list",
