--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -2,6 +2,7 @@
 use crate::daemon::Node;
 use crate::event::{Event, EventQuery, EventRecord};
 use crate::name::{RequestId, VersionKey, VmName};
+use crate::peer::{OperatorCall, OperatorReply};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -36,9 +37,7 @@
     };
     let mut lines: Vec<String> = events.iter().filter_map(sentence).collect();
     if let Subject::Version(version) = subject {
-        let (all, closing) = summary(version, &timeline.events);
-        lines.retain(|line| !line.is_empty());
-        lines.push(format!("{all} events of version {version} are kept.{closing}"));
+        lines.extend(stop_on_record(node, version).await);
     }
     Explanation { lines, missing: timeline.missing, truncated: timeline.truncated }
 }
@@ -74,13 +73,17 @@
     events
 }
 
-fn summary(version: &VersionKey, events: &[EventRecord]) -> (usize, &'static str) {
-    let stopped = |record: &EventRecord| matches!(&record.event, Event::VersionStopped { version: v, .. } if v == version);
-    let closing = match events.iter().any(stopped) {
-        true => " It was stopped on evidence; a ticket with a newer number may open it again.",
-        false => " No stop on evidence is among them.",
+/// Whether the version is stopped, as the leader's state has it: events may be forgotten, that not.
+async fn stop_on_record(node: &Node, version: &VersionKey) -> Option<String> {
+    let reply = node.ask_leader(OperatorCall::Evidence).await;
+    let Ok(OperatorReply::Evidence(view)) = reply else {
+        return Some("Whether it is stopped is unknown: no leader answers.".to_owned());
     };
-    (events.len(), closing)
+    let stop = view.stopped.iter().find(|stop| stop.version == *version);
+    Some(match stop {
+        Some(stop) => format!("Version {version} stands stopped on evidence: {}.", stop.evidence),
+        None => format!("No stop on evidence is on record for version {version}."),
+    })
 }
 
 fn sentence(record: &EventRecord) -> Option<String> {
