--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use samphireshift::backend::{EventStream, LoadReport, usage_of};
+use samphireshift::backend::{EventStream, LoadReport, Usage};
 use samphireshift::consensus::MemberId;
 use samphireshift::control::{ControlCommand, Ticket};
 use samphireshift::event::{EventQuery, EventRecord, Stamp};
@@ -62,7 +62,7 @@
     let _ = serde_json::from_slice::<EventRecord>(bytes);
     let _ = serde_json::from_slice::<Vec<Vm>>(bytes);
     let _ = serde_json::from_slice::<LoadReport>(bytes);
-    let _ = usage_of(bytes);
+    let _ = serde_json::from_slice::<Usage>(bytes);
 }
 
 fn read_all_messages(bytes: &[u8]) {
