--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -35,7 +35,7 @@
 pub use prefix::{PrefixKeys, PrefixTable};
 pub use replica::{Balance, Candidate, pick_replica};
 pub use retry_budget::RetryBudget;
-pub use server_stats::ServerStats;
+pub use server_stats::{Load, ServerStats};
 pub use service_rate::ServiceRate;
 pub use signal_test::Batch;
 pub use steps::{StepStart, next_step};
--- a/src/policy/replica.rs
+++ b/src/policy/replica.rs
@@ -1,3 +1,4 @@
+use super::Load;
 use crate::platform::Vm;
 use rand::Rng;
 
@@ -5,17 +6,10 @@
 /// "The Power of Two Choices in Randomized Load Balancing", 2001) keeps routers with the same
 /// lagging reports from all taking the same server.
 const SAMPLES: usize = 3;
-/// A prefix counts only while the server's load is below this share of its slots.
-const AFFINITY_LOAD: f64 = 0.9;
 /// The share of the time to the first token that a wholly cached prompt saves.
 const AFFINITY_GAIN: f64 = 0.8;
-/// How much a full batch slows the first token, as a share of it.
-const BATCH_COST: f64 = 0.5;
 /// The time that another data centre adds, in milliseconds.
 const FAR_MILLIS: f64 = 3.0;
-/// The time to the first token assumed where nothing was measured, in milliseconds; small, so that
-/// unknown servers are tried.
-const UNKNOWN_MILLIS: f64 = 1.0;
 /// With fewer than this share of a pool usable, ejected servers are used too.
 const USABLE_SHARE: f64 = 0.5;
 
@@ -37,7 +31,7 @@
     /// The server.
     pub vm: Vm,
     /// Requests there now, as far as known.
-    pub load: u64,
+    pub load: Load,
     /// Requests that it can work on at once.
     pub slots: u64,
     /// Calls of this router under way.
@@ -46,6 +40,8 @@
     pub room: u64,
     /// The average time to the first token, in milliseconds.
     pub first: Option<f64>,
+    /// The average time that a call takes, in milliseconds.
+    pub lasted: Option<f64>,
     /// Whether it is not ejected.
     pub usable: bool,
     /// Whether it stands in this router's data centre.
@@ -55,16 +51,21 @@
 }
 
 impl Candidate {
-    /// The expected time to the first token, in milliseconds.
-    fn expected(&self) -> f64 {
+    /// The expected time to the first token, in milliseconds; `usual` is the pool's average.
+    fn expected(&self, usual: f64) -> f64 {
         let slots = self.slots.max(1) as f64;
-        let load = self.load as f64;
-        let first = self.first.unwrap_or(UNKNOWN_MILLIS);
-        let waiting = (load + 1.0 - slots).max(0.0) / slots;
-        let batch = BATCH_COST * (load / slots).min(1.0);
-        let cached = if load < slots * AFFINITY_LOAD { self.cached } else { 0.0 };
+        let first = self.first.unwrap_or(usual);
+        let waiting = self.queue() / slots * self.lasted.unwrap_or(first);
         let far = if self.near { 0.0 } else { FAR_MILLIS };
-        first * (1.0 + batch + waiting * slots) * (1.0 - AFFINITY_GAIN * cached) + far
+        let saved = (usual * AFFINITY_GAIN * self.cached).min(first);
+        waiting + first - saved + far
+    }
+
+    /// The requests that a new one is expected to wait for. As the load is uncertain, a smooth
+    /// maximum keeps a nearly full server from looking as good as an idle one.
+    fn queue(&self) -> f64 {
+        let over = self.load.mean + 1.0 - self.slots.max(1) as f64;
+        (over + (over * over + self.load.spread).sqrt()) / 2.0
     }
 }
 
@@ -98,7 +99,16 @@
         Balance::Expected => {
             let cached = open.iter().filter(|c| c.cached > 0.0).copied();
             let sampled = (0..SAMPLES).map(|_| open[rng.random_range(0..open.len())]);
-            cached.chain(sampled).min_by(|a, b| a.expected().total_cmp(&b.expected()))
+            let usual = usual_first(&open);
+            let rank = |c: &&Candidate| c.expected(usual);
+            cached.chain(sampled).min_by(|a, b| rank(a).total_cmp(&rank(b)))
         }
     }
 }
+
+/// The average time to the first token over servers where it is known, in milliseconds.
+fn usual_first(open: &[&Candidate]) -> f64 {
+    let known = open.iter().filter_map(|candidate| candidate.first);
+    let (sum, count) = known.fold((0.0, 0), |(sum, count), first| (sum + first, count + 1));
+    sum / f64::from(count.max(1))
+}
--- a/src/route/servers.rs
+++ b/src/route/servers.rs
@@ -91,8 +91,8 @@
 impl ServerCall {
     /// The first token came, or the whole answer of a plain service.
     pub fn answered(&self) {
-        let first = since_start().saturating_sub(self.begun);
-        if self.servers.with(&self.vm, |stats| stats.answered(first)) {
+        let now = since_start();
+        if self.servers.with(&self.vm, |stats| stats.answered(now, self.begun)) {
             self.servers.journal.record(Event::ServerRestored { server: self.vm.clone() });
         }
     }
@@ -124,6 +124,7 @@
 
 impl Drop for ServerCall {
     fn drop(&mut self) {
-        self.servers.with(&self.vm, |stats| stats.ended());
+        let now = since_start();
+        self.servers.with(&self.vm, |stats| stats.ended(now, self.begun));
     }
 }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -10,7 +10,7 @@
 use samphireshift::name::{DataCentre, OrganisationName, PoolName, VmName};
 use samphireshift::platform::{Vm, VmState};
 use samphireshift::policy::{
-    Balance, Candidate, FairQueue, PrefixKeys, PrefixTable, Queued, pick_replica,
+    Balance, Candidate, FairQueue, Load, PrefixKeys, PrefixTable, Queued, pick_replica,
 };
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -28,11 +28,12 @@
     };
     Candidate {
         vm,
-        load: 0,
+        load: Load::default(),
         slots: 8,
         own: 0,
         room: 8,
         first: Some(10.0),
+        lasted: Some(50.0),
         usable: true,
         near: true,
         cached: 0.0,
@@ -46,12 +47,12 @@
 
 #[rstest]
 #[case::equal(Case { change: |_| {}, picked: true })]
-#[case::queueing(Case { change: |c| c.load = 20, picked: false })]
+#[case::queueing(Case { change: |c| c.load.mean = 20.0, picked: false })]
 #[case::slow(Case { change: |c| c.first = Some(60.0), picked: false })]
 #[case::ejected(Case { change: |c| c.usable = false, picked: false })]
 #[case::no_room(Case { change: |c| c.room = 0, picked: false })]
 #[case::far(Case { change: |c| c.near = false, picked: false })]
-#[case::cached_but_full(Case { change: |c| { c.cached = 1.0; c.load = 30 }, picked: false })]
+#[case::cached_but_full(Case { change: |c| { c.cached = 1.0; c.load.mean = 30.0 }, picked: false })]
 #[case::cached(Case { change: |c| c.cached = 1.0, picked: true })]
 fn a_server_is_picked_by_its_expected_time(#[case] case: Case) {
     let mut candidates: Vec<Candidate> = ["a", "b", "c", "d"].map(candidate).into();
