Follow cache events with gaps, read each server's reports on its own

Cause: one silent server held every report back by up to 2 s, as a round of reads waited for the slowest; the pool's VMs were copied out of the whole list for every pick; cache events of engines were not read at all. Change: a reader per server; the VM list arranged by pool and name; cache events followed by their numbers, a gap ends what was believed of that server. Ruled out: a time limit on the round, which loses slow servers' reports altogether. Not proved: engines whose block hashes differ from ours need an adapter.

--- a/examples/fake/engine.rs
+++ b/examples/fake/engine.rs
@@ -13,6 +13,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use samphireshift::backend::{CacheChange, CacheEvent};
 use samphireshift::policy::PrefixKeys;
 use serde_json::{Value, json as value};
 use std::collections::VecDeque;
@@ -53,6 +54,7 @@
 struct Cache {
     blocks: VecDeque<PrefixKeys>,
     most: usize,
+    dropped: Vec<CacheEvent>,
 }
 
 impl Cache {
@@ -66,7 +68,9 @@
             self.blocks.push_back(key);
         }
         while self.blocks.len() > self.most {
-            self.blocks.pop_front();
+            let block = self.blocks.pop_front().expect("there are too many");
+            let (number, change) = (self.dropped.len() as u64 + 1, CacheChange::Dropped);
+            self.dropped.push(CacheEvent { number, change, blocks: block.hashes().to_vec() });
         }
         misses
     }
@@ -99,6 +103,7 @@
         cache: Mutex::new(Cache {
             blocks: VecDeque::new(),
             most: options.get("cache-blocks", 256),
+            dropped: Vec::new(),
         }),
         report: Mutex::default(),
     });
@@ -147,6 +152,13 @@
                 Some(json(200, &if late.is_null() { self.load() } else { late }))
             }
             "/fake/orders" => Some(json(200, &Value::from(self.orders.lock().unwrap().clone()))),
+            "/v1/cache-events" => {
+                let query = request.uri().query().and_then(|query| query.strip_prefix("after="));
+                let after = query.and_then(|text| text.parse().ok()).unwrap_or(0);
+                let cache = self.cache.lock().unwrap();
+                let events = cache.dropped.get(after..).unwrap_or_default();
+                Some(json(200, &value!(events)))
+            }
             "/v1/orders" => Some(self.order(read_json(request).await)),
             "/fake/set" => {
                 self.set(&read_json(request).await);
@@ -161,9 +173,11 @@
         let running = *self.running.lock().unwrap();
         let versions = self.versions.lock().unwrap().clone();
         let memory = running as f64 / self.slots as f64;
+        let cache = self.cache.lock().unwrap().dropped.len();
         value!({
             "running": running.min(self.slots), "waiting": running.saturating_sub(self.slots),
             "slots": self.slots, "memory": memory.min(1.0), "versions": versions,
+            "cache": cache,
         })
     }
 
--- a/src/backend/load.rs
+++ b/src/backend/load.rs
@@ -1,10 +1,12 @@
-use super::Connections;
+use super::{CacheEvent, Connections, cache_events};
 use crate::name::{VersionKey, VmName};
-use crate::platform::{VmList, VmState};
+use crate::platform::VmList;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
+use tokio::task::JoinHandle;
 
 /// How often each backend server is asked for its load.
 const POLL_EVERY: Duration = Duration::from_millis(500);
@@ -27,6 +29,19 @@
     /// Versions that are loaded, as `model/version`.
     #[serde(default)]
     pub versions: Vec<String>,
+    /// The number of its newest cache event; 0 where it publishes none.
+    #[serde(default)]
+    pub cache: u64,
+}
+
+/// Takes in what is read from backend servers.
+pub trait LoadSink: Send + Sync + 'static {
+    /// A load report was read.
+    fn report(&self, vm: &VmName, report: &LoadReport);
+    /// The newest cache event taken in from a server.
+    fn newest_event(&self, vm: &VmName) -> u64;
+    /// Cache events were read.
+    fn events(&self, vm: &VmName, events: &[CacheEvent]);
 }
 
 /// The versions that each backend server last reported as loaded.
@@ -36,22 +51,63 @@
 }
 
 impl LoadTable {
-    /// Starts to read the reports of every VM in the list; each goes to `take` as well.
-    pub fn spawn<F>(vms: Arc<VmList>, connections: Arc<Connections>, take: F) -> Arc<Self>
+    /// Starts to read the reports of every VM in the list, each on its own, so that a silent one
+    /// delays no other; what is read goes to `sink` as well.
+    pub fn spawn<S>(vms: Arc<VmList>, connections: Arc<Connections>, sink: Arc<S>) -> Arc<Self>
     where
-        F: Fn(&VmName, &LoadReport) + Send + Sync + 'static,
+        S: LoadSink,
     {
         let table = Arc::new(Self::default());
         let task = table.clone();
         tokio::spawn(async move {
+            let mut readers: HashMap<VmName, JoinHandle<()>> = HashMap::new();
             loop {
-                task.poll(&vms, &connections, &take).await;
+                let listing = vms.now();
+                readers.retain(|name, reader| listing.may_use(name) && !reader.is_finished());
+                for vm in listing.pools().flat_map(|(_, pool)| pool.iter()) {
+                    if !readers.contains_key(&vm.vm) {
+                        let (vms, connections) = (vms.clone(), connections.clone());
+                        let (name, address) = (vm.vm.clone(), vm.address);
+                        let read = task.clone().read(name, address, vms, connections, sink.clone());
+                        readers.insert(vm.vm.clone(), tokio::spawn(read));
+                    }
+                }
+                task.loaded
+                    .write()
+                    .expect("load lock")
+                    .retain(|name, _| listing.get(name).is_some());
                 tokio::time::sleep(POLL_EVERY).await;
             }
         });
         table
     }
 
+    /// Reads one server's reports and cache events until the list no longer has it there.
+    async fn read<S>(
+        self: Arc<Self>,
+        name: VmName,
+        address: SocketAddr,
+        vms: Arc<VmList>,
+        connections: Arc<Connections>,
+        sink: Arc<S>,
+    ) where
+        S: LoadSink,
+    {
+        while vms.now().get(&name).is_some_and(|vm| vm.address == address) {
+            if let Some(report) = load_report(&connections, address).await {
+                sink.report(&name, &report);
+                let after = sink.newest_event(&name);
+                if report.cache != after
+                    && let Some(events) = cache_events(&connections, address, after).await
+                {
+                    sink.events(&name, &events);
+                }
+                self.loaded.write().expect("load lock").insert(name.clone(), report.versions);
+            }
+            tokio::time::sleep(POLL_EVERY).await;
+        }
+    }
+
     /// Whether a server reported its versions and this is not one of them.
     pub fn lacks(&self, vm: &VmName, version: &VersionKey) -> bool {
         let loaded = self.loaded.read().expect("load lock");
@@ -64,24 +120,9 @@
         };
         !versions.iter().any(named)
     }
+}
 
-    async fn poll<F>(&self, vms: &VmList, connections: &Connections, take: &F)
-    where
-        F: Fn(&VmName, &LoadReport),
-    {
-        let list = vms.all();
-        let live = list.iter().filter(|vm| vm.state == VmState::Live);
-        let asks = live.map(|vm| async move {
-            let bytes = connections.get(vm.address, "/v1/load").await?;
-            let report = serde_json::from_slice::<LoadReport>(&bytes).ok()?;
-            Some((vm.vm.clone(), report))
-        });
-        let answers = futures::future::join_all(asks).await;
-        let mut loaded = self.loaded.write().expect("load lock");
-        loaded.retain(|name, _| list.iter().any(|vm| vm.vm == *name));
-        for (name, report) in answers.into_iter().flatten() {
-            take(&name, &report);
-            loaded.insert(name, report.versions);
-        }
-    }
+async fn load_report(connections: &Connections, address: SocketAddr) -> Option<LoadReport> {
+    let bytes = connections.get(address, "/v1/load").await?;
+    serde_json::from_slice(&bytes).ok()
 }
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -91,7 +91,11 @@
 }
 
 /// Orders that may be given now: an unload only once the withdrawal is in force.
-fn ripe_orders(node: &Node, config: &Config, engines: &[(Vm, EngineState)]) -> Vec<(Vm, Order)> {
+fn ripe_orders(
+    node: &Node,
+    config: &Config,
+    engines: &[(Arc<Vm>, EngineState)],
+) -> Vec<(Arc<Vm>, Order)> {
     let states: Vec<EngineState> = engines.iter().map(|(_, state)| state.clone()).collect();
     let in_force = node.is_in_force(config.revision);
     let mut orders = Vec::new();
@@ -106,12 +110,14 @@
 }
 
 /// Asks every engine of the pools that matter what it holds.
-async fn read_engines(node: &Node, config: &Config) -> Vec<(Vm, EngineState)> {
+async fn read_engines(node: &Node, config: &Config) -> Vec<(Arc<Vm>, EngineState)> {
     let new = |key: &VersionKey| config.rollouts.values().any(|rollout| rollout.to == *key);
     let matters = |v: &&Version| v.state == VersionState::Withdrawn || new(&v.key());
     let versions = config.versions.values().filter(matters);
     let pools: BTreeSet<_> = versions.map(|version| version.pool.clone()).collect();
-    let asks = pools.iter().flat_map(|pool| node.router.vms.pool(pool)).map(|vm| async move {
+    let listing = node.router.vms.now();
+    let servers = pools.iter().flat_map(|pool| listing.pool(pool).to_vec());
+    let asks = servers.map(|vm| async move {
         let bytes = node.router.connections.get(vm.address, "/v1/load").await?;
         let report = serde_json::from_slice::<LoadReport>(&bytes).ok()?;
         let loaded = report.versions.iter().filter_map(|text| VersionKey::parse(text)).collect();
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -112,6 +112,7 @@
 async fn keep_places(router: Arc<Router>) {
     loop {
         router.resize_pools();
+        router.forget_servers();
         tokio::time::sleep(RESIZE_EVERY).await;
     }
 }
@@ -173,11 +174,7 @@
     let source = settings.vm_list.clone();
     let vms = VmList::spawn(source, settings.poll, connections.clone(), journal.clone()).await;
     let servers = Servers::open(journal.clone());
-    let (taker, listed) = (servers.clone(), vms.clone());
-    let loads = LoadTable::spawn(vms.clone(), connections.clone(), move |vm, report| {
-        taker.report(vm, report);
-        taker.keep_only(|name| listed.all().iter().any(|vm| vm.vm == *name));
-    });
+    let loads = LoadTable::spawn(vms.clone(), connections.clone(), servers.clone());
     let name = RouterName { vm: settings.vm.clone(), run };
     let sample = settings.rating.map_or(0, |_| settings.sample);
     let learner = Learner::open(name.clone(), settings.weights, sample, journal.clone());
--- a/src/platform/vm_list.rs
+++ b/src/platform/vm_list.rs
@@ -1,7 +1,7 @@
-use super::{Vm, VmState};
+use super::{Listing, Vm, VmState};
 use crate::backend::Connections;
 use crate::event::{Event, Journal};
-use crate::name::{PoolName, VmName};
+use crate::name::VmName;
 use crate::settings::VmListSource;
 use std::collections::BTreeSet;
 use std::sync::{Arc, RwLock};
@@ -11,7 +11,7 @@
 /// as the list names it, whatever an older copy of the list says.
 #[derive(Debug, Default)]
 pub struct VmList {
-    vms: RwLock<Arc<Vec<Vm>>>,
+    vms: RwLock<Arc<Listing>>,
     leaving: RwLock<BTreeSet<VmName>>,
 }
 
@@ -40,20 +40,14 @@
         list
     }
 
-    /// All VMs of the list.
-    pub fn all(&self) -> Arc<Vec<Vm>> {
+    /// The list as last read.
+    pub fn now(&self) -> Arc<Listing> {
         self.vms.read().expect("VM list lock").clone()
     }
 
-    /// VMs of a pool that may be given work.
-    pub fn pool(&self, pool: &PoolName) -> Vec<Vm> {
-        let vms = self.all();
-        vms.iter().filter(|vm| vm.pool == *pool && vm.state == VmState::Live).cloned().collect()
-    }
-
     /// Whether a VM may be given work.
     pub fn may_use(&self, name: &VmName) -> bool {
-        self.all().iter().any(|vm| vm.vm == *name && vm.state == VmState::Live)
+        self.now().may_use(name)
     }
 
     /// Takes in a newer list.
@@ -70,10 +64,10 @@
             }
         }
         let mut current = self.vms.write().expect("VM list lock");
-        for gone in current.iter().filter(|vm| !names.contains(&vm.vm)) {
+        for gone in current.all().filter(|vm| !names.contains(&vm.vm)) {
             journal.record(Event::ServerGone { server: gone.vm.clone() });
         }
-        *current = Arc::new(vms);
+        *current = Arc::new(Listing::of(vms));
     }
 }
 
--- a/src/policy/prefix.rs
+++ b/src/policy/prefix.rs
@@ -37,6 +37,11 @@
         Self(hashes)
     }
 
+    /// The hash of each block.
+    pub fn hashes(&self) -> &[u64] {
+        &self.0
+    }
+
     /// Each block by itself.
     pub fn each(&self) -> impl Iterator<Item = PrefixKeys> {
         self.0.iter().map(|key| PrefixKeys(vec![*key]))
--- a/src/policy/replica.rs
+++ b/src/policy/replica.rs
@@ -1,6 +1,7 @@
 use super::Load;
 use crate::platform::Vm;
 use rand::Rng;
+use std::sync::Arc;
 
 /// Servers looked at besides those that hold a prefix: the power of few choices (Mitzenmacher,
 /// "The Power of Two Choices in Randomized Load Balancing", 2001) keeps routers with the same
@@ -29,7 +30,7 @@
 #[derive(Debug, Clone)]
 pub struct Candidate {
     /// The server.
-    pub vm: Vm,
+    pub vm: Arc<Vm>,
     /// Requests there now, as far as known.
     pub load: Load,
     /// Requests that it can work on at once.
--- a/src/route/admission.rs
+++ b/src/route/admission.rs
@@ -2,7 +2,6 @@
 use super::{Refusal, RefusalCode, Router, Unsent};
 use crate::group::since_start;
 use crate::name::{OrganisationName, PoolName};
-use crate::platform::VmState;
 use crate::policy::{FairQueue, Queued, ServiceRate};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -174,14 +173,17 @@
     /// Fits the places of every pool to the limits of its servers.
     pub fn resize_pools(&self) {
         let now = since_start();
-        let mut pools: HashMap<PoolName, u64> = HashMap::new();
-        for vm in self.vms.all().iter() {
-            let stats = self.servers.stats(&vm.vm);
-            let open = vm.state == VmState::Live && stats.may_use(now);
-            let calls = if open { stats.limit() } else { 0 };
-            *pools.entry(vm.pool.clone()).or_default() += calls;
+        for (pool, vms) in self.vms.now().pools() {
+            let stats = vms.iter().map(|vm| self.servers.stats(&vm.vm));
+            let open = stats.filter(|stats| stats.may_use(now));
+            self.admission.resize(pool, open.map(|stats| stats.limit()).sum());
         }
-        pools.iter().for_each(|(pool, calls)| self.admission.resize(pool, *calls));
+    }
+
+    /// Forgets what is known of servers that are no longer listed.
+    pub fn forget_servers(&self) {
+        let listing = self.vms.now();
+        self.servers.keep_only(|name| listing.get(name).is_some());
     }
 
     /// Waits for a place at a pool for a request of an organisation.
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -10,6 +10,7 @@
 use crate::policy::PrefixKeys;
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -84,7 +85,7 @@
                 Ok(Exchanged { response, lent, first }) => {
                     under_way.answered();
                     under_way.holds(&self.prefix);
-                    let (server, call) = (vm.vm, under_way);
+                    let (server, call) = (vm.vm.clone(), under_way);
                     return Ok(Opened { response, server, call, lent, first });
                 }
                 Err(Failed::Final(refusal)) => return Err(refusal),
@@ -98,7 +99,7 @@
                     reason
                 }
             };
-            router.journal.record(Event::AttemptFailed { request, server: vm.vm, reason });
+            router.journal.record(Event::AttemptFailed { request, server: vm.vm.clone(), reason });
         }
     }
 
@@ -191,7 +192,12 @@
     }
 
     /// Picks a server, one that was not tried if there is any.
-    async fn pick(&mut self, router: &Router, pool: &PoolName, version: &VersionKey) -> Option<Vm> {
+    async fn pick(
+        &mut self,
+        router: &Router,
+        pool: &PoolName,
+        version: &VersionKey,
+    ) -> Option<Arc<Vm>> {
         let picked = router.pick(pool, Some(version), &self.tried, &self.prefix);
         if picked.is_some() || self.tried.is_empty() {
             return picked;
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -84,11 +84,11 @@
         version: Option<&VersionKey>,
         tried: &[VmName],
         prefix: &PrefixKeys,
-    ) -> Option<Vm> {
+    ) -> Option<Arc<Vm>> {
         let shares = self.servers.shares(prefix);
         let now = since_start();
         let mut candidates = Vec::new();
-        for vm in self.vms.pool(pool) {
+        for vm in self.vms.now().pool(pool).iter() {
             if tried.contains(&vm.vm) || version.is_some_and(|key| self.loads.lacks(&vm.vm, key)) {
                 continue;
             }
@@ -104,7 +104,7 @@
                 usable: stats.may_use(now),
                 near: vm.data_centre == self.data_centre,
                 cached: held.map_or(0.0, |(_, share)| *share),
-                vm,
+                vm: vm.clone(),
             });
         }
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
--- a/src/route/servers.rs
+++ b/src/route/servers.rs
@@ -1,4 +1,4 @@
-use crate::backend::LoadReport;
+use crate::backend::{CacheChange, CacheEvent, LoadReport, LoadSink};
 use crate::event::{Event, Journal};
 use crate::group::since_start;
 use crate::name::VmName;
@@ -14,6 +14,7 @@
 pub struct Servers {
     shards: Vec<Mutex<HashMap<VmName, ServerStats>>>,
     prefixes: Mutex<PrefixTable>,
+    newest: Mutex<HashMap<VmName, u64>>,
     journal: Arc<Journal>,
 }
 
@@ -28,7 +29,7 @@
     /// Starts with nothing known.
     pub fn open(journal: Arc<Journal>) -> Arc<Self> {
         let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
-        Arc::new(Self { shards, prefixes: Mutex::default(), journal })
+        Arc::new(Self { shards, prefixes: Mutex::default(), newest: Mutex::default(), journal })
     }
 
     /// What is known of a server.
@@ -43,12 +44,6 @@
         ServerCall { servers: self.clone(), vm: vm.clone(), begun }
     }
 
-    /// Takes in a load report.
-    pub fn report(&self, vm: &VmName, report: &LoadReport) {
-        let now = since_start();
-        self.with(vm, |s| s.reported(now, report.running, report.waiting, report.slots));
-    }
-
     /// Forgets servers that are no longer listed.
     pub fn keep_only<F>(&self, listed: F)
     where
@@ -67,14 +62,6 @@
         self.prefixes.lock().expect("prefix lock").shares(since_start(), keys)
     }
 
-    /// Works on the prefix table.
-    pub fn with_prefixes<F>(&self, work: F)
-    where
-        F: FnOnce(&mut PrefixTable),
-    {
-        work(&mut self.prefixes.lock().expect("prefix lock"));
-    }
-
     fn with<F, T>(&self, vm: &VmName, work: F) -> T
     where
         F: FnOnce(&mut ServerStats) -> T,
@@ -88,6 +75,35 @@
     }
 }
 
+impl LoadSink for Servers {
+    fn report(&self, vm: &VmName, report: &LoadReport) {
+        let now = since_start();
+        self.with(vm, |s| s.reported(now, report.running, report.waiting, report.slots));
+    }
+
+    fn newest_event(&self, vm: &VmName) -> u64 {
+        self.newest.lock().expect("event lock").get(vm).copied().unwrap_or(0)
+    }
+
+    fn events(&self, vm: &VmName, events: &[CacheEvent]) {
+        let (now, mut expected) = (since_start(), self.newest_event(vm) + 1);
+        let mut prefixes = self.prefixes.lock().expect("prefix lock");
+        for event in events {
+            if event.number != expected {
+                prefixes.missed(now, vm);
+            }
+            expected = event.number + 1;
+            let keys = PrefixKeys::from_hashes(event.blocks.clone());
+            match event.change {
+                CacheChange::Stored => prefixes.held(now, &keys, vm),
+                CacheChange::Dropped => prefixes.dropped(&keys, vm),
+            }
+        }
+        drop(prefixes);
+        self.newest.lock().expect("event lock").insert(vm.clone(), expected - 1);
+    }
+}
+
 impl ServerCall {
     /// The first token came, or the whole answer of a plain service.
     pub fn answered(&self) {
@@ -118,7 +134,7 @@
             return;
         }
         let now = since_start();
-        self.servers.with_prefixes(|table| table.held(now, keys, &self.vm));
+        self.servers.prefixes.lock().expect("prefix lock").held(now, keys, &self.vm);
     }
 }
 
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -7,13 +7,17 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
+use samphireshift::backend::{CacheChange, CacheEvent, LoadSink};
+use samphireshift::event::Journal;
 use samphireshift::name::{DataCentre, OrganisationName, PoolName, VmName};
 use samphireshift::platform::{Vm, VmState};
 use samphireshift::policy::{
     Balance, Candidate, FairQueue, Load, PrefixKeys, PrefixTable, Queued, pick_replica,
 };
+use samphireshift::route::Servers;
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 const SEED: u64 = 7;
@@ -27,7 +31,7 @@
         state: VmState::Live,
     };
     Candidate {
-        vm,
+        vm: vm.into(),
         load: Load::default(),
         slots: 8,
         own: 0,
@@ -75,7 +79,8 @@
     candidates.iter_mut().skip(1).for_each(|c| c.usable = false);
     let mut rng = Pcg64Mcg::seed_from_u64(SEED);
     let pick = |turn| pick_replica(&candidates, Balance::RoundRobin, turn, &mut rng).cloned();
-    let names: std::collections::BTreeSet<_> = (0..8).map(pick).map(|c| c.unwrap().vm.vm).collect();
+    let names: std::collections::BTreeSet<_> =
+        (0..8).map(pick).map(|c| c.unwrap().vm.vm.clone()).collect();
     assert_eq!(names.len(), 4);
 }
 
@@ -95,6 +100,23 @@
     assert!(table.shares(at(600), &keys).is_empty());
 }
 
+#[test]
+fn cache_events_correct_what_is_believed_and_a_gap_ends_it() {
+    let servers = Servers::open(Arc::new(Journal::open(VmName::new("entry"))));
+    let keys = PrefixKeys::of(&"k".repeat(512));
+    let event =
+        |number, change, blocks: &[u64]| CacheEvent { number, change, blocks: blocks.into() };
+    let server = VmName::new("a");
+    let share = || servers.shares(&keys).first().map_or(0.0, |(_, share)| *share);
+    servers.events(&server, &[event(1, CacheChange::Stored, keys.hashes())]);
+    assert_eq!(share(), 1.0);
+    servers.events(&server, &[event(2, CacheChange::Dropped, &keys.hashes()[1..])]);
+    assert_eq!((share(), servers.newest_event(&server)), (0.5, 2));
+    std::thread::sleep(Duration::from_millis(2));
+    servers.events(&server, &[event(9, CacheChange::Dropped, &[1])]);
+    assert_eq!((share(), servers.newest_event(&server)), (0.0, 9));
+}
+
 /// A fair queue by linear search, without bounds.
 #[derive(Default)]
 struct NaiveQueue {
