Take a call's place behind its claim, ask for the key that makes a call repeatable

Ruled out: a larger pool, which the waiting payments fill as well. Change: the place is taken behind the claim and given back before the outcome is recorded; by-key calls without a key are treated as calls that may not be repeated; a limit starts at the reported slots and rises by a quarter; a call that outlives its caller counts until it is settled, so a graceful stop waits for it. The claimed part stands in its own file. The probe file of the settings check has a random name: two checks in one process took each other's (tests/policy_settings failed once so).

--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -10,8 +10,8 @@
 const WAITING_SHARE: f64 = 0.25;
 /// Use of the limit, as a share, from which it may rise.
 const USE_SHARE: f64 = 0.7;
-/// The rise at one report.
-const INCREASE: f64 = 1.0;
+/// The rise at one report, as a share of the limit, and at least by one call.
+const INCREASE_SHARE: f64 = 0.25;
 /// The shortest time between two decreases: the effect of one must show first.
 const COOLDOWN: Duration = Duration::from_millis(700);
 
@@ -21,12 +21,13 @@
 #[derive(Debug, Clone)]
 pub struct Limit {
     value: f64,
+    known: bool,
     lowered: Option<Duration>,
 }
 
 impl Default for Limit {
     fn default() -> Self {
-        Self { value: START, lowered: None }
+        Self { value: START, known: false, lowered: None }
     }
 }
 
@@ -49,12 +50,17 @@
     /// calls under way.
     pub fn reported(&mut self, now: Duration, waiting: u64, slots: u64, own: u64) {
         let slots = slots.max(1) as f64;
+        if !self.known {
+            self.known = true;
+            self.value = self.value.max(slots);
+        }
         if waiting as f64 > slots * WAITING_SHARE {
             self.lower(now);
             return;
         }
         if waiting == 0 && own as f64 >= self.value * USE_SHARE {
-            self.value = (self.value + INCREASE).min(slots * 2.0).max(FLOOR);
+            let rise = (self.value * INCREASE_SHARE).max(1.0);
+            self.value = (self.value + rise).min(slots * 2.0).max(FLOOR);
         }
     }
 
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -6,6 +6,7 @@
 mod budgets;
 mod cascade;
 mod chat;
+mod claimed_call;
 mod counters;
 mod learned;
 mod lease;
--- a/src/route/service_call.rs
+++ b/src/route/service_call.rs
@@ -1,17 +1,16 @@
+use super::counters::Counted;
 use super::refusal::refuse;
 use super::request::{Meta, ServiceRequest};
 use super::{Answer, Refusal, RefusalCode, Router, Unsent, Whole, Work, WorkPermit};
 use crate::backend::SendError;
 use crate::control::{Repeat, Service};
 use crate::event::Event;
-use crate::ledger::{Bill, Claim, ClaimState, StoredAnswer};
-use crate::name::IdempotencyKey;
+use crate::ledger::Bill;
 use crate::platform::Vm;
 use crate::policy::PrefixKeys;
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::{BodyExt, Full, Limited};
-use sha2::{Digest, Sha256};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,16 +19,12 @@
 /// Attempts of a call that may be repeated.
 const ATTEMPTS: usize = 3;
 /// The work that a call is expected to be, compared with other calls of its pool.
-const CALL_COST: f64 = 1.0;
-/// The pause before a repeated call first looks again for the first one's outcome; it doubles.
-const LOOK_FIRST: Duration = Duration::from_millis(20);
-/// The longest such pause.
-const LOOK_LAST: Duration = Duration::from_millis(500);
+pub(super) const CALL_COST: f64 = 1.0;
 /// How long recording an outcome may take behind the request's deadline.
-const SETTLE_GRACE: Duration = Duration::from_secs(10);
+pub(super) const SETTLE_GRACE: Duration = Duration::from_secs(10);
 
 /// How one attempt ended without an answer.
-enum Missed {
+pub(super) enum Missed {
     /// No byte of this attempt left.
     NotSent,
     /// It may have run.
@@ -39,7 +34,7 @@
 impl Router {
     /// Serves a call of a plain service.
     pub async fn call_service(self: &Arc<Self>, request: ServiceRequest, unsent: Unsent) -> Answer {
-        let _counted = self.counters.enter();
+        let counted = Arc::new(self.counters.enter());
         let id = request.meta.request;
         self.journal.record(Event::RequestAdmitted {
             request: id,
@@ -49,7 +44,7 @@
         if let Some(session) = request.meta.session.clone() {
             self.journal.record(Event::SessionJoined { request: id, session });
         }
-        let served = self.serve_call(&request, unsent).await;
+        let served = self.serve_call(&request, unsent, &counted).await;
         served.unwrap_or_else(|refusal| self.refuse(id, refusal))
     }
 
@@ -57,14 +52,21 @@
         self: &Arc<Self>,
         request: &ServiceRequest,
         unsent: Unsent,
+        counted: &Arc<Counted>,
     ) -> Result<Answer, Refusal> {
         let service = self.find_service(request, &unsent)?;
         let meta = &request.meta;
-        let entered =
-            self.enter(&service.pool, &meta.organisation, CALL_COST, meta.deadline, &unsent);
-        let place = entered.await?;
-        if service.repeat != Repeat::Never || request.method.is_safe() {
+        let (safe, keyed) = (request.method.is_safe(), meta.key.is_some());
+        let repeatable = match service.repeat {
+            Repeat::Freely => true,
+            Repeat::ByKey => safe || keyed,
+            Repeat::Never => safe,
+        };
+        if repeatable {
+            let (pool, who) = (&service.pool, &meta.organisation);
+            let place = self.enter(pool, who, CALL_COST, meta.deadline, &unsent).await?;
             let answer = self.call_freely(request, &service, unsent).await?;
+            drop(place);
             self.bill_call(&request.meta, &service).await?;
             return Ok(Answer::Whole(answer));
         }
@@ -75,16 +77,21 @@
         };
         // The work goes on if the caller leaves, so that the claim always gets its outcome.
         let (router, request) = (self.clone(), request.clone());
+        let counted = counted.clone();
         let work = self.runtime.spawn(async move {
             let answer = router.call_once(request, service, key, unsent).await;
-            drop(place);
+            drop(counted);
             answer
         });
         let lost = "the call was interrupted inside the router";
         work.await.unwrap_or_else(|_| Err(Refusal::unknown(RefusalCode::OutcomeUnknown, lost)))
     }
 
-    fn find_service(&self, request: &ServiceRequest, unsent: &Unsent) -> Result<Service, Refusal> {
+    pub(super) fn find_service(
+        &self,
+        request: &ServiceRequest,
+        unsent: &Unsent,
+    ) -> Result<Service, Refusal> {
         let config = self.config(unsent)?;
         let organisation = config.organisations.get(&request.meta.organisation);
         let allowed = organisation.is_some_and(|o| o.services.contains(&request.service));
@@ -127,140 +134,7 @@
         Err(refuse(code, text, proof.as_ref()))
     }
 
-    /// Runs a call that may not be repeated: claimed first, sent at most once.
-    async fn call_once(
-        self: Arc<Self>,
-        request: ServiceRequest,
-        service: Service,
-        key: IdempotencyKey,
-        unsent: Unsent,
-    ) -> Result<Answer, Refusal> {
-        let (meta, digest) = (&request.meta, digest_of(&request));
-        let mut claim = self.claim(meta, &key, digest, &unsent).await?;
-        let mut pause = LOOK_FIRST;
-        if claim.request != meta.request {
-            let (request, first) = (meta.request, claim.request);
-            self.journal.record(Event::ClaimRepeated { request, first });
-        }
-        // A duplicate waits for the first one's outcome, and takes its place if it gives up.
-        while claim.request != meta.request {
-            if claim.digest != digest {
-                let text = "this idempotency key was used for another call; use a new key";
-                return Err(Refusal::not_run(RefusalCode::KeyReused, text, &unsent));
-            }
-            match claim.state {
-                ClaimState::Answered(stored) => return Ok(Answer::Whole(replayed(stored))),
-                ClaimState::Unknown => return Err(open_outcome()),
-                ClaimState::Running if Instant::now() + pause >= meta.deadline => {
-                    return Err(open_outcome());
-                }
-                ClaimState::Running => tokio::time::sleep(pause).await,
-            }
-            pause = (pause * 2).min(LOOK_LAST);
-            let looked = self.claim(meta, &key, digest, &unsent).await;
-            claim = looked.map_err(|_| open_outcome())?;
-        }
-        let (id, name) = (meta.request, service.name.clone());
-        self.journal.record(Event::ClaimCommitted { request: id, service: name });
-        self.run_claimed(&request, &service, &key, unsent).await
-    }
-
-    async fn claim(
-        &self,
-        meta: &Meta,
-        key: &IdempotencyKey,
-        digest: [u8; 32],
-        unsent: &Unsent,
-    ) -> Result<Claim, Refusal> {
-        let done =
-            self.ledger.claim(&meta.organisation, key, meta.request, digest, meta.deadline).await;
-        done.map_err(|_| {
-            // The claim may still be committed; nobody will ever send under it.
-            self.ledger.release_later(&meta.organisation, key, meta.request);
-            let text = "the claim could not be committed; ask again with the same key";
-            Refusal::not_run(RefusalCode::NoLedger, text, unsent)
-        })
-    }
-
-    async fn run_claimed(
-        &self,
-        request: &ServiceRequest,
-        service: &Service,
-        key: &IdempotencyKey,
-        unsent: Unsent,
-    ) -> Result<Answer, Refusal> {
-        let mut proof = Some(unsent);
-        let mut tried = Vec::new();
-        let meta = &request.meta;
-        // The proof is gone as soon as an attempt may have run, and with it the loop.
-        while let Some(unsent) = &proof {
-            let picked = match self.find_service(request, unsent) {
-                Ok(service) => self.pick(&service.pool, None, &tried, &PrefixKeys::default()),
-                Err(refusal) => return self.release(meta, key, refusal).await,
-            };
-            let Some(vm) = picked else {
-                let text = "no backend server of this service can take the call";
-                let refusal = Refusal::not_run(RefusalCode::NoServer, text, unsent);
-                return self.release(meta, key, refusal).await;
-            };
-            tried.push(vm.vm.clone());
-            if let Ok(answer) = self.attempt_call(request, &vm, &mut proof, true).await {
-                return self.settle(meta, key, service, answer).await;
-            }
-        }
-        self.settle_unknown(meta, key).await
-    }
-
-    async fn release(
-        &self,
-        meta: &Meta,
-        key: &IdempotencyKey,
-        refusal: Refusal,
-    ) -> Result<Answer, Refusal> {
-        let deadline = Instant::now() + SETTLE_GRACE;
-        let released = self.ledger.release(&meta.organisation, key, meta.request, deadline).await;
-        if released.is_err() {
-            self.ledger.release_later(&meta.organisation, key, meta.request);
-        }
-        Err(refusal)
-    }
-
-    async fn settle(
-        &self,
-        meta: &Meta,
-        key: &IdempotencyKey,
-        service: &Service,
-        answer: Whole,
-    ) -> Result<Answer, Refusal> {
-        let stored = StoredAnswer {
-            status: answer.status,
-            media: answer.media.clone(),
-            body: answer.body.clone(),
-        };
-        let bill = bill_of(meta, service);
-        let cost = bill.cost;
-        let deadline = Instant::now() + SETTLE_GRACE;
-        let outcome = Some((stored, bill));
-        let done = self.ledger.settle(&meta.organisation, key, meta.request, outcome, deadline);
-        if done.await.is_err() {
-            let text =
-                "the call ran, but its outcome could not be recorded; ask again with the same key";
-            return Err(Refusal::unknown(RefusalCode::NoLedger, text));
-        }
-        self.journal.record(Event::AnswerBilled { request: meta.request, cost });
-        Ok(Answer::Whole(answer))
-    }
-
-    async fn settle_unknown(&self, meta: &Meta, key: &IdempotencyKey) -> Result<Answer, Refusal> {
-        let deadline = Instant::now() + SETTLE_GRACE;
-        let done = self.ledger.settle(&meta.organisation, key, meta.request, None, deadline);
-        if done.await.is_err() {
-            log::warn!("request {}: its open outcome could not be recorded", meta.request);
-        }
-        Err(open_outcome())
-    }
-
-    async fn attempt_call(
+    pub(super) async fn attempt_call(
         &self,
         request: &ServiceRequest,
         vm: &Vm,
@@ -324,32 +198,11 @@
     }
 }
 
-fn replayed(stored: StoredAnswer) -> Whole {
-    let StoredAnswer { status, media, body } = stored;
-    Whole { status, media, body }
-}
-
-fn open_outcome() -> Refusal {
-    let text =
-        "the call may or may not have run and will not be sent again; check with the service";
-    Refusal::unknown(RefusalCode::OutcomeUnknown, text)
-}
-
-fn bill_of(meta: &Meta, service: &Service) -> Bill {
+pub(super) fn bill_of(meta: &Meta, service: &Service) -> Bill {
     let item = format!("service {}", service.name);
     Bill { request: meta.request, item, prompt: 0, answer: 0, cost: service.price }
 }
 
-fn digest_of(request: &ServiceRequest) -> [u8; 32] {
-    let mut hash = Sha256::new();
-    for part in [request.method.as_str(), request.service.as_str(), &request.path] {
-        hash.update((part.len() as u64).to_le_bytes());
-        hash.update(part.as_bytes());
-    }
-    hash.update(&request.body);
-    hash.finalize().into()
-}
-
 fn to_http(request: &ServiceRequest) -> Request<Full<Bytes>> {
     let mut builder = Request::builder()
         .method(request.method.clone())
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -228,7 +228,7 @@
             self.fault("vm", "data_folder", &text);
             return;
         };
-        let probe = existing.join(format!(".write-probe-{}", std::process::id()));
+        let probe = existing.join(format!(".write-probe-{:016x}", rand::random::<u64>()));
         let tried = std::fs::write(&probe, b"").and_then(|()| std::fs::remove_file(&probe));
         if let Err(cause) = tried {
             let text = format!(
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -114,3 +114,17 @@
     fleet.await_ready().await;
     assert_eq!(fleet.chat(0, &[], &prompt(false)).await.status, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_only_its_key_makes_repeatable_needs_the_key() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    let mut first = ticket::first(1);
+    first["services"][1]["repeat"] = json!("by_key");
+    fleet.apply(&first).await;
+    let path = "/v1/services/stock/orders";
+    let refused = fleet.ask(0, path, &[], &json!({ "teak": 1 })).await;
+    assert_eq!(refused.json()["error"]["code"], "bad_request", "{}", refused.text());
+    assert!(fleet.log(fleet.server("ledger")).await.is_empty());
+    let keyed = fleet.ask(0, path, &[("idempotency-key", "o-1")], &json!({ "teak": 1 })).await;
+    assert_eq!(keyed.status, 200, "{}", keyed.text());
+}
