Split the test fleet's plan and set-up off, join the latency scenarios' engines

Ruled out: joining the plans of tests/faults_lease and tests/faults_ledger, whose leases differ on purpose. Change: tests/env/plan.rs and tests/env/setup.rs; one engine for all scenarios and an extra argument. Only moved code: no test, bound or assertion changed.

--- a/examples/bench_latency/main.rs
+++ b/examples/bench_latency/main.rs
@@ -11,7 +11,7 @@
 use driver::Outcome;
 use env::{Fleet, Plan, ticket};
 use samphireshift::control::KeyHash;
-use scenario::{ENGINES, Fault, SCENARIOS, Scenario};
+use scenario::{ENGINE, ENGINES, Fault, SCENARIOS, Scenario};
 use serde_json::json;
 use std::time::Duration;
 
@@ -47,7 +47,8 @@
 }
 
 async fn run(scenario: &Scenario, balance: &'static str, time: Duration) -> Outcome {
-    let mut plan = Plan { cheap: vec![scenario.engine.to_vec(); ENGINES], ..Plan::default() };
+    let engine: Vec<_> = ENGINE.iter().copied().chain(scenario.extra).collect();
+    let mut plan = Plan { cheap: vec![engine; ENGINES], ..Plan::default() };
     plan.settings = vec![("routing", "balance", balance), ("rating", "sample", "0")];
     let mut fleet = Fleet::start(&plan).await;
     fleet.apply(&first_ticket()).await;
--- a/examples/bench_latency/scenario.rs
+++ b/examples/bench_latency/scenario.rs
@@ -17,8 +17,8 @@
 pub struct Scenario {
     /// Its name in the table.
     pub name: &'static str,
-    /// Arguments of each engine.
-    pub engine: &'static [&'static str],
+    /// An argument of each engine besides [`ENGINE`].
+    pub extra: Option<&'static str>,
     /// Requests a second.
     pub rate: f64,
     /// What happens meanwhile.
@@ -27,7 +27,7 @@
 
 /// 4 slots; 20 ms and 4 ms for each block that is not cached to the first token, then 30 tokens of
 /// 5 ms: about 80 places for 0.23 s each, so some 340 requests a second at most.
-const ENGINE: &[&str] = &[
+pub const ENGINE: &[&str] = &[
     "--versions=cheap/v1",
     "--slots=4",
     "--first-us=20000",
@@ -37,24 +37,18 @@
     "--delay-us=5000",
 ];
 
-const LAGGING: &[&str] = &[
-    "--versions=cheap/v1",
-    "--slots=4",
-    "--first-us=20000",
-    "--prefill-us=4000",
-    "--cache-blocks=96",
-    "--tokens=30",
-    "--delay-us=5000",
-    "--lag-ms=2000",
-];
-
 const CAPACITY: f64 = 340.0;
 
 /// All comparisons.
 pub const SCENARIOS: [Scenario; 5] = [
-    Scenario { name: "healthy", engine: ENGINE, rate: CAPACITY * 0.6, fault: Fault::None },
-    Scenario { name: "lag", engine: LAGGING, rate: CAPACITY * 0.6, fault: Fault::None },
-    Scenario { name: "slow", engine: ENGINE, rate: CAPACITY * 0.6, fault: Fault::Slow },
-    Scenario { name: "loss", engine: ENGINE, rate: CAPACITY * 0.6, fault: Fault::Loss },
-    Scenario { name: "overload", engine: ENGINE, rate: CAPACITY * 1.3, fault: Fault::None },
+    Scenario { name: "healthy", extra: None, rate: CAPACITY * 0.6, fault: Fault::None },
+    Scenario {
+        name: "lag",
+        extra: Some("--lag-ms=2000"),
+        rate: CAPACITY * 0.6,
+        fault: Fault::None,
+    },
+    Scenario { name: "slow", extra: None, rate: CAPACITY * 0.6, fault: Fault::Slow },
+    Scenario { name: "loss", extra: None, rate: CAPACITY * 0.6, fault: Fault::Loss },
+    Scenario { name: "overload", extra: None, rate: CAPACITY * 1.3, fault: Fault::None },
 ];
--- a/tests/env/fleet.rs
+++ b/tests/env/fleet.rs
@@ -1,12 +1,14 @@
 //! Daemons and fakes that belong together.
 
 use super::http::{Reply, call};
+use super::plan::Plan;
 use super::process::{Process, programs};
 use super::proxy::{Fault, Proxy};
+use super::setup::{free_ports, ini, own_address, spawn_daemon};
 use serde_json::{Value, json};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output, Stdio};
+use std::process::{Command, Output};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -14,33 +16,6 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
-/// What a fleet is made of.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    /// For each daemon, whether it has a data folder.
-    pub disks: Vec<bool>,
-    /// Arguments of each engine of the cheap model.
-    pub cheap: Vec<Vec<&'static str>>,
-    /// Arguments of each engine of the better model.
-    pub better: Vec<Vec<&'static str>>,
-    /// Whether a proxy stands between every two daemons, and before every server.
-    pub proxies: bool,
-    /// Extra settings, such as `("lease", "duration", "1s")`.
-    pub settings: Vec<(&'static str, &'static str, &'static str)>,
-}
-
-impl Default for Plan {
-    fn default() -> Self {
-        Self {
-            disks: vec![true, true, false],
-            cheap: vec![vec!["--versions=cheap/v1,cheap/v2"]],
-            better: vec![vec!["--versions=better/v1,better/v2"]],
-            proxies: false,
-            settings: vec![("limits", "drain", "200ms"), ("rating", "sample", "1000")],
-        }
-    }
-}
-
 /// A daemon's process and its ports.
 #[derive(Debug)]
 pub struct Daemon {
@@ -367,39 +342,3 @@
         tokio::time::sleep(LOOK_EVERY).await;
     }
 }
-
-fn spawn_daemon(settings: &Path) -> Process {
-    let log = settings.with_extension("log");
-    let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("a log file");
-    let mut command = Command::new(programs().join("samphireshiftd"));
-    command.arg("--settings").arg(settings).stderr(Stdio::from(log));
-    Process::spawn(&mut command)
-}
-
-/// A loopback address of this fleet's own, so that ports found free stay so.
-fn own_address(number: u32) -> IpAddr {
-    let id = std::process::id();
-    let [_, _, high, low] = id.to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, 10 + (number % 200) as u8, high, low.max(1)))
-}
-
-fn free_ports(ip: IpAddr, count: usize) -> Vec<[SocketAddr; 3]> {
-    let bind = |_| TcpListener::bind((ip, 0)).expect("a free port");
-    let listeners: Vec<[TcpListener; 3]> = (0..count).map(|_| [0; 3].map(bind)).collect();
-    let address = |listener: &TcpListener| listener.local_addr().expect("its address");
-    listeners.iter().map(|three| three.each_ref().map(address)).collect()
-}
-
-fn ini(values: &[(&str, &str, String)]) -> String {
-    let mut sections: Vec<&str> = values.iter().map(|(section, _, _)| *section).collect();
-    sections.sort_unstable();
-    sections.dedup();
-    let mut text = String::new();
-    for section in sections {
-        text.push_str(&format!("[{section}]\n"));
-        for (_, key, value) in values.iter().filter(|(s, _, _)| *s == section) {
-            text.push_str(&format!("{key} = {value}\n"));
-        }
-    }
-    text
-}
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -5,10 +5,13 @@
 pub mod checker;
 pub mod fleet;
 pub mod http;
+pub mod plan;
 pub mod process;
 pub mod proxy;
 pub mod raw;
 pub mod scripted;
+pub mod setup;
 pub mod ticket;
 
-pub use fleet::{Fleet, Plan};
+pub use fleet::Fleet;
+pub use plan::Plan;
