--- a/examples/bench_commits.rs
+++ b/examples/bench_commits.rs
@@ -116,6 +116,7 @@
         id: MemberId(n),
         vm: VmName::new(format!("entry-{n}")),
         data_centre: DataCentre::new("dc-0"),
+        address: ([127, 0, 0, 1], 1).into(),
         durable: true,
     };
     let leader = members[0].clone();
--- a/src/backend/connections.rs
+++ b/src/backend/connections.rs
@@ -45,7 +45,7 @@
 struct Idle {
     sender: Sender,
     guard: Arc<Guard>,
-    since: Instant,
+    until: Instant,
     home: ThreadId,
 }
 
@@ -145,7 +145,7 @@
         // two wake-ups across threads.
         while let Some(at) = stack.iter().rposition(|idle| idle.home == home) {
             let idle = stack.remove(at);
-            if idle.sender.is_ready() && idle.since.elapsed() < IDLE_LIMIT {
+            if idle.sender.is_ready() && Instant::now() < idle.until {
                 return Some((idle.sender, idle.guard));
             }
         }
@@ -169,6 +169,17 @@
     ) -> Result<Response<Incoming>, SendError> {
         let host = HeaderValue::from_str(&self.address.to_string()).expect("addresses are ASCII");
         request.headers_mut().insert(header::HOST, host);
+        self.send_unchanged(request).await
+    }
+
+    /// Sends a request that names its own host.
+    ///
+    /// # Errors
+    /// As [`Lent::send`].
+    pub async fn send_unchanged(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
         let outcome = self.sender.try_send_request(request).await;
         outcome.map_err(|mut failed| match failed.take_message() {
             Some(_) => SendError::NotSent(failed.error().to_string()),
@@ -179,12 +190,18 @@
 
     /// Returns the connection after the whole answer was read.
     pub fn give_back(self) {
+        self.give_back_for(IDLE_LIMIT);
+    }
+
+    /// Keeps the connection for a later exchange, for at most `idle`.
+    pub fn give_back_for(self, idle: Duration) {
+        let now = Instant::now();
         let mut shard = self.owner.shard(self.address).lock().expect("connection lock");
         let stack = shard.entry(self.address).or_default();
-        stack.retain(|idle| idle.since.elapsed() < IDLE_LIMIT);
+        stack.retain(|idle| now < idle.until);
         if stack.len() < IDLE_PER_ADDRESS {
             let Lent { sender, guard, home, .. } = self;
-            stack.push(Idle { sender, guard, since: Instant::now(), home });
+            stack.push(Idle { sender, guard, until: now + idle.min(IDLE_LIMIT), home });
         }
     }
 }
--- a/src/backend/load.rs
+++ b/src/backend/load.rs
@@ -1,6 +1,6 @@
 use super::{CacheEvent, Connections, cache_events};
 use crate::name::{VersionKey, VmName};
-use crate::platform::VmList;
+use crate::vms::VmList;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/consensus/member.rs
+++ b/src/consensus/member.rs
@@ -1,6 +1,7 @@
 use crate::name::{DataCentre, VmName};
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::net::SocketAddr;
 
 /// A member's incarnation: random, made in an empty data folder, never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -22,6 +23,8 @@
     pub vm: VmName,
     /// The VM's data centre.
     pub data_centre: DataCentre,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
     /// Whether its state outlives the process; false for a stand-in.
     pub durable: bool,
 }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,6 +1,7 @@
-use super::{Rollout, SummaryChange, Ticket, TicketAnswer};
+use super::{PoolRollout, Rollout, RouteTable, SummaryChange, Ticket, TicketAnswer};
 use crate::name::VersionKey;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// A command of the control group.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -25,6 +26,17 @@
     Fence,
     /// Keeps what was learned from answers; changes no revision.
     Learn(SummaryChange),
+    /// Replaces the whole route table, unless the one in force has the same or a higher number.
+    Replace(Arc<RouteTable>),
+    /// Starts a pool's roll-out, unless the newest one of the pool has the same target.
+    Begin(PoolRollout),
+    /// Moves a pool's roll-out on, if it still is as `before`.
+    Shift {
+        /// The roll-out as the proposer knew it.
+        before: PoolRollout,
+        /// The roll-out as it is to be.
+        after: PoolRollout,
+    },
 }
 
 /// What a command brought about.
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -1,7 +1,8 @@
-use super::{KeyHash, Model, Organisation, Rollout, Service, Version};
-use crate::name::{ModelName, OrganisationName, RolloutName, ServiceName, VersionKey};
+use super::{KeyHash, Model, Organisation, PoolRollout, Rollout, RouteTable, Service, Version};
+use crate::name::{ModelName, OrganisationName, PoolName, RolloutName, ServiceName, VersionKey};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// The configuration that routers work under, at one revision.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -18,6 +19,10 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Roll-outs.
     pub rollouts: BTreeMap<RolloutName, Rollout>,
+    /// Configured routes.
+    pub table: Option<Arc<RouteTable>>,
+    /// The newest roll-out of each pool.
+    pub shifts: BTreeMap<PoolName, PoolRollout>,
 }
 
 impl Config {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,14 +1,21 @@
 //! The control group's replicated state: configuration, tickets, fencing numbers, router leases.
 
+mod call_kind;
+mod caller_limits;
 mod command;
 mod config;
+mod configured_route;
 mod evidence;
+mod key_owner;
 mod learned;
 mod lease_table;
 mod model;
 mod order;
 mod organisation;
+mod pool_rollout;
+mod pool_spec;
 mod rollout;
+mod route_table;
 mod service;
 mod state;
 mod summary;
@@ -17,15 +24,22 @@
 mod validate;
 mod version;
 
+pub use call_kind::CallKind;
+pub use caller_limits::CallerLimits;
 pub use command::{ControlCommand, ControlOutcome};
 pub use config::Config;
+pub use configured_route::{ConfiguredRoute, PoolShare};
 pub use evidence::{BETS, Evidence, Signal, SignalTest};
+pub use key_owner::KeyOwner;
 pub use learned::{Learned, LearnedEntry, StatKey};
 pub use lease_table::{LeaseTable, Router};
 pub use model::Model;
 pub use order::{EngineState, Order, OrderKind, plan_orders};
 pub use organisation::{Exhausted, KeyHash, KindRoute, KindRule, ModelGrant, Organisation};
+pub use pool_rollout::{PoolRollout, PoolRolloutStatus};
+pub use pool_spec::{EngineSpec, PoolSpec, PricedModel};
 pub use rollout::{Rollout, RolloutStatus};
+pub use route_table::RouteTable;
 pub use service::{Repeat, Service};
 pub use state::ControlState;
 pub use summary::{Counted, KEYS, Summary, SummaryChange};
--- a/src/control/organisation.rs
+++ b/src/control/organisation.rs
@@ -5,7 +5,7 @@
 use subtle::ConstantTimeEq;
 
 /// The SHA-256 of an API key, in hex; the key itself is never stored.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(String);
 
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,7 +1,7 @@
 use super::ticket_book::TicketBook;
 use super::{
-    Config, ControlCommand, ControlOutcome, ObjectName, Rollout, Summary, Ticket, TicketAnswer,
-    TicketRecord, TicketRefusal, VersionState, validate,
+    Config, ControlCommand, ControlOutcome, ObjectName, PoolRollout, Rollout, RouteTable, Summary,
+    Ticket, TicketAnswer, TicketRecord, TicketRefusal, VersionState, validate,
 };
 use crate::name::VersionKey;
 use serde::{Deserialize, Serialize};
@@ -64,6 +64,9 @@
                 self.summary.apply(change);
                 ControlOutcome::Unchanged
             }
+            ControlCommand::Replace(table) => self.replace(table),
+            ControlCommand::Begin(rollout) => self.begin(rollout),
+            ControlCommand::Shift { before, after } => self.shift(&before, after),
         }
     }
 
@@ -152,6 +155,35 @@
         self.change(next)
     }
 
+    fn replace(&mut self, table: Arc<RouteTable>) -> ControlOutcome {
+        let held = self.config.table.as_ref();
+        if held.is_some_and(|held| held.number >= table.number) {
+            return ControlOutcome::Unchanged;
+        }
+        let mut next = Config::clone(&self.config);
+        next.table = Some(table);
+        self.change(next)
+    }
+
+    fn begin(&mut self, rollout: PoolRollout) -> ControlOutcome {
+        let held = self.config.shifts.get(&rollout.pool);
+        if held.is_some_and(|held| held.target == rollout.target) {
+            return ControlOutcome::Unchanged;
+        }
+        let mut next = Config::clone(&self.config);
+        next.shifts.insert(rollout.pool.clone(), rollout);
+        self.change(next)
+    }
+
+    fn shift(&mut self, before: &PoolRollout, after: PoolRollout) -> ControlOutcome {
+        if self.config.shifts.get(&before.pool) != Some(before) {
+            return ControlOutcome::Unchanged;
+        }
+        let mut next = Config::clone(&self.config);
+        next.shifts.insert(after.pool.clone(), after);
+        self.change(next)
+    }
+
     fn change(&mut self, mut next: Config) -> ControlOutcome {
         next.revision += 1;
         let revision = next.revision;
--- a/src/daemon/lead.rs
+++ b/src/daemon/lead.rs
@@ -4,7 +4,7 @@
 use crate::control::{LeaseTable, Router};
 use crate::group::since_start;
 use crate::name::VmName;
-use crate::peer::{LeaseAnswer, LeaseAsk};
+use crate::peer::{LeaseAnswer, LeaseAsk, PoolNews};
 use std::time::{Duration, Instant};
 
 /// How often a wait for `in force` looks again.
@@ -24,19 +24,23 @@
         self.journal.observe(ask.stamp);
         self.note_ack(&ask);
         self.take_report(&ask);
-        self.await_newer(ask.revision).await;
+        self.await_newer(&ask).await;
         // The lease is noted before the configuration is read: a wait for `in force` that did not
         // see this lease was answered before, so its revision is in what is read now. Whether this
         // daemon still leads is asked last: the configuration was current then.
         let noted = self.note_ack(&ask);
         let config = self.control(|state| state.config().clone());
         if !noted || !self.cluster.control().may_serve() {
-            return LeaseAnswer::NotLeader { leader: self.leader() };
+            return LeaseAnswer::NotLeader {
+                leader: self.leader(),
+                address: self.leader_address(),
+            };
         }
         let config =
             Some(config).filter(|config| config.revision > ask.revision || config.revision == 0);
         let (counted, learned) = self.take_report(&ask);
-        LeaseAnswer::Granted { config, stamp: self.journal.stamp(), counted, learned }
+        let news = self.news(&ask);
+        LeaseAnswer::Granted { config, stamp: self.journal.stamp(), counted, learned, news }
     }
 
     /// Notes the router's revision and its lease; false where this daemon may not grant any.
@@ -44,17 +48,38 @@
         self.with_leases(|table, now| table.grant(now, ask.router.clone(), ask.revision)).is_some()
     }
 
-    async fn await_newer(&self, revision: u64) {
+    /// Waits for a newer configuration or VM list, as long as the router's lease allows.
+    async fn await_newer(&self, ask: &LeaseAsk) {
         let mut applied = self.cluster.control().applied();
+        let mut listing = self.pools.listing.subscribe();
         let until = Instant::now() + self.settings.renew;
-        while self.control(|state| state.config().revision) <= revision {
-            let changed = tokio::time::timeout_at(until.into(), applied.changed()).await;
-            if !matches!(changed, Ok(Ok(()))) {
+        while self.control(|state| state.config().revision) <= ask.revision
+            && !self.pools.has_news(ask.pools.as_ref())
+        {
+            let changed = async {
+                tokio::select! {
+                    changed = applied.changed() => changed.is_ok(),
+                    changed = listing.changed() => changed.is_ok(),
+                }
+            };
+            if !matches!(tokio::time::timeout_at(until.into(), changed).await, Ok(true)) {
                 return;
             }
         }
     }
 
+    /// Takes a router's report on pools in and tells it what it lacks.
+    fn news(&self, ask: &LeaseAsk) -> Option<PoolNews> {
+        let report = ask.pools.as_ref()?;
+        let term = self.cluster.control().status().term;
+        self.pools.take(term, &ask.router, &report.tallies);
+        let members = self.cluster.control().status().members;
+        let voters = members.voters.iter().map(|member| member.address).collect();
+        let live = self.with_leases(|table, now| table.live(now).count());
+        let routers = live.unwrap_or_default() as u32;
+        Some(PoolNews { listing: self.pools.unseen(report.listing), voters, routers })
+    }
+
     /// Waits until a revision is in force everywhere; gives up after `wait`.
     pub async fn await_in_force(
         &self,
--- a/src/daemon/lease_loop.rs
+++ b/src/daemon/lease_loop.rs
@@ -1,10 +1,11 @@
 //! A router's side of its lease.
 
 use super::Node;
-use crate::control::Router;
+use crate::control::Router as RouterName;
 use crate::event::Event;
 use crate::group::{GroupId, since_start};
 use crate::peer::{LeaseAnswer, LeaseAsk};
+use crate::route::Router;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tarpc::context;
@@ -15,25 +16,25 @@
 const RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Renews this daemon's lease for ever.
-pub async fn keep_lease(node: Arc<Node>) {
+pub async fn keep_lease(node: Arc<Node>, router: Arc<Router>) {
     let mut round = 0;
     let mut held = false;
     loop {
         let asked = since_start();
-        let renewed = match ask(&node, round).await {
-            Some(LeaseAnswer::Granted { config, stamp, counted, learned }) => {
+        let renewed = match ask(&node, &router, round).await {
+            Some(LeaseAnswer::Granted { config, stamp, counted, learned, .. }) => {
                 node.journal.observe(stamp);
-                node.router.learner.acknowledge(counted);
+                router.learner.acknowledge(counted);
                 if let Some(change) = learned {
-                    node.router.learner.learn(change);
+                    router.learner.learn(change);
                 }
-                if node.router.lease.renew(asked, node.settings.lease, config) {
-                    let revision = node.router.lease.revision().unwrap_or(0);
+                if router.lease.renew(asked, node.settings.lease, config) {
+                    let revision = router.lease.revision().unwrap_or(0);
                     node.journal.record(Event::RevisionInstalled { revision });
                 }
                 true
             }
-            Some(LeaseAnswer::NotLeader { leader }) => {
+            Some(LeaseAnswer::NotLeader { leader, .. }) => {
                 node.cluster.hint(GroupId::Control, leader);
                 false
             }
@@ -42,8 +43,8 @@
                 false
             }
         };
-        node.router.learner.release();
-        held = note(&node, held);
+        router.learner.release();
+        held = note(&node, &router, held);
         if !renewed {
             round += 1;
             tokio::time::sleep(RETRY_AFTER).await;
@@ -51,14 +52,15 @@
     }
 }
 
-async fn ask(node: &Node, round: usize) -> Option<LeaseAnswer> {
+async fn ask(node: &Node, router: &Router, round: usize) -> Option<LeaseAnswer> {
     let identity = node.identity();
     let ask = LeaseAsk {
-        router: Router { vm: identity.vm, run: identity.run },
-        revision: node.router.lease.revision().unwrap_or(0),
+        router: RouterName { vm: identity.vm, run: identity.run },
+        revision: router.lease.revision().unwrap_or(0),
         stamp: node.journal.stamp(),
-        report: node.router.learner.report(),
-        epoch: node.router.learner.epoch(),
+        report: router.learner.report(),
+        epoch: router.learner.epoch(),
+        pools: None,
     };
     if node.cluster.control().status().leading {
         return Some(node.grant(ask).await);
@@ -69,11 +71,11 @@
     client.lease(context, ask).await.ok()
 }
 
-fn note(node: &Node, held: bool) -> bool {
-    let holds = node.router.lease.config().is_some();
+fn note(node: &Node, router: &Router, held: bool) -> bool {
+    let holds = router.lease.config().is_some();
     match (held, holds) {
         (false, true) => {
-            let revision = node.router.lease.revision().unwrap_or(0);
+            let revision = router.lease.revision().unwrap_or(0);
             node.journal.record(Event::LeaseGained { revision });
         }
         (true, false) => node.journal.record(Event::LeaseLost),
--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -6,6 +6,9 @@
 use crate::event::Event;
 use crate::group::{Group, GroupStatus, since_start};
 use crate::peer::PeerIdentity;
+use crate::settings::Settings;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +20,7 @@
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         adopt_cluster(&node);
+        connect(&node);
         for group in node.cluster.groups() {
             let status = group.status();
             if status.leading && group.may_serve() {
@@ -26,6 +30,21 @@
     }
 }
 
+/// Connects to the seeds and the members, where daemons find each other by seeds.
+fn connect(node: &Node) {
+    let Settings { seeds, peers, .. } = &node.settings;
+    if seeds.is_empty() {
+        return;
+    }
+    let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), peers.port()));
+    let mut wanted: BTreeSet<SocketAddr> = seeds.collect();
+    for group in node.cluster.groups() {
+        wanted.extend(group.status().members.all().map(|member| member.address));
+    }
+    wanted.iter().for_each(|address| node.cluster.net().dial(*address));
+    node.cluster.net().prune(&wanted);
+}
+
 fn adopt_cluster(node: &Node) {
     if node.identity().cluster.is_some() {
         return;
@@ -65,14 +84,14 @@
     let now = since_start();
     let mut all = vec![Seen { member: node.member(), joined: true, silent: Duration::ZERO }];
     for (identity, heard) in node.cluster.net().heard() {
-        let PeerIdentity { vm, member: id, data_centre, durable, cluster, .. } = identity;
+        let PeerIdentity { vm, member: id, data_centre, address, durable, cluster, .. } = identity;
         let acked = status.acked.iter().find(|(other, _)| *other == id).map(|(_, at)| *at);
         // A voter that answers pings but not the group is as good as silent.
         let last = match status.members.is_voter(id) {
             true => acked.unwrap_or_default().max(status.since),
             false => heard,
         };
-        let member = Member { id, vm, data_centre, durable };
+        let member = Member { id, vm, data_centre, address, durable };
         all.push(Seen { member, joined: cluster.is_some(), silent: now.saturating_sub(last) });
     }
     for member in status.members.all() {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,10 +10,14 @@
 mod operate;
 mod orders;
 mod peer_server;
+mod pool_rollouts;
+mod pools;
 mod rollouts;
 mod start;
 mod stop;
+mod voter;
 
 pub use membership_plan::{MembershipStep, MembershipView, Seen};
 pub use node::Node;
 pub use start::run;
+pub use voter::run_voter;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,4 +1,5 @@
 use super::lead::LeaderLeases;
+use super::pools::LeaderPools;
 use crate::consensus::{Member, Members};
 use crate::error::Error;
 use crate::event::{Event, Journal};
@@ -10,6 +11,7 @@
 use crate::settings::Settings;
 use crate::storage::DataFolder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 /// One running daemon.
@@ -21,13 +23,15 @@
     /// Its groups and links.
     pub cluster: Arc<Cluster>,
     /// Its router.
-    pub router: Arc<Router>,
+    pub router: Option<Arc<Router>>,
     /// Its data folder, where it has one.
     pub folder: Mutex<Option<DataFolder>>,
     /// Leases that it granted as leader.
     pub leases: Mutex<Option<LeaderLeases>>,
     /// What it gathers from routers as leader.
     pub board: Mutex<Option<Board>>,
+    /// What it knows of pools as leader, for daemons that only route.
+    pub pools: LeaderPools,
     /// Its metrics.
     pub metrics: PrometheusHandle,
     /// Told when an operator asks it to stop.
@@ -42,8 +46,8 @@
 
     /// This daemon as a member of groups.
     pub fn member(&self) -> Member {
-        let PeerIdentity { vm, member, data_centre, durable, .. } = self.identity();
-        Member { id: member, vm, data_centre, durable }
+        let PeerIdentity { vm, member, data_centre, address, durable, .. } = self.identity();
+        Member { id: member, vm, data_centre, address, durable }
     }
 
     /// Founds a cluster with this daemon as the only voter of every group.
@@ -87,15 +91,16 @@
     /// What the daemon says of itself.
     pub fn status(&self) -> NodeStatus {
         let identity = self.identity();
+        let router = self.router.as_deref();
         NodeStatus {
             vm: identity.vm,
             data_centre: identity.data_centre,
             durable: identity.durable,
             cluster: identity.cluster.map(|id| format!("{id:032x}")),
-            revision: self.router.lease.revision().unwrap_or(0),
-            lease: self.router.lease.left().as_millis() as u64,
-            requests: self.router.counters.requests(),
-            draining: self.router.is_draining(),
+            revision: router.map_or(0, |router| router.lease.revision().unwrap_or(0)),
+            lease: router.map_or(0, |router| router.lease.left().as_millis() as u64),
+            requests: router.map_or(0, |router| router.counters.requests()),
+            draining: router.is_some_and(|router| router.is_draining()),
             groups: self.cluster.groups().map(|group| self.view(group)).collect(),
         }
     }
@@ -105,6 +110,21 @@
         self.cluster.leader(GroupId::Control)
     }
 
+    /// Where the control group's leader listens for peers, as far as known.
+    pub fn leader_address(&self) -> Option<SocketAddr> {
+        let status = self.cluster.control().status();
+        let leader = status.leader?;
+        status.members.all().find(|member| member.id == leader).map(|member| member.address)
+    }
+
+    /// Takes note of a daemon that has connected. One that may vote is connected to in turn where
+    /// daemons find each other by seeds.
+    pub fn welcome(&self, peer: &PeerIdentity) {
+        if peer.durable && !self.settings.seeds.is_empty() {
+            self.cluster.net().dial(peer.address);
+        }
+    }
+
     /// Reads the control state.
     pub fn control<F, T>(&self, look: F) -> T
     where
--- a/src/daemon/operate.rs
+++ b/src/daemon/operate.rs
@@ -5,7 +5,7 @@
 use crate::event::Event;
 use crate::group::{GroupId, Replicated};
 use crate::ledger::{Bill, BillSum, LedgerState};
-use crate::name::OrganisationName;
+use crate::name::{OrganisationName, PoolName};
 use crate::peer::{OperatorCall, OperatorReply, Unavailable};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -95,6 +95,17 @@
             OperatorCall::Evidence => OperatorReply::Evidence(self.evidence()),
             OperatorCall::BillSums => OperatorReply::BillSums(self.bill_sums()),
             OperatorCall::Bills(organisation) => OperatorReply::Bills(self.bills(&organisation)),
+            OperatorCall::Replace(table) => self.commit(ControlCommand::Replace(table)).await,
+            OperatorCall::Table => {
+                OperatorReply::Table(self.control(|state| state.config().table.clone()))
+            }
+            OperatorCall::Begin(rollout) => match self.has_pool(&rollout.pool) {
+                true => self.commit(ControlCommand::Begin(rollout)).await,
+                false => OperatorReply::NoPool,
+            },
+            OperatorCall::PoolRollout(pool) => OperatorReply::PoolRollout(
+                self.control(|state| state.config().shifts.get(&pool).cloned()),
+            ),
             OperatorCall::LiveRouters => match self.live_routers() {
                 Some(live) => OperatorReply::LiveRouters(live),
                 None => OperatorReply::NotLeader { leader: self.leader() },
@@ -102,6 +113,26 @@
         }
     }
 
+    fn has_pool(&self, pool: &PoolName) -> bool {
+        self.control(|state| {
+            let table = state.config().table.as_ref();
+            table.is_some_and(|table| table.pool(pool).is_some())
+        })
+    }
+
+    /// Commits a command whose repetition changes nothing.
+    async fn commit(&self, command: ControlCommand) -> OperatorReply {
+        let wanted = self.settings.voters.min(self.settings.seeds.len());
+        if self.cluster.control().status().members.voters.len() < wanted {
+            return OperatorReply::Forming;
+        }
+        let bytes = postcard::to_stdvec(&command).expect("commands always serialise");
+        match self.cluster.control().submit(bytes.into()).await {
+            Ok(_) => OperatorReply::Committed,
+            Err(_) => OperatorReply::Lost,
+        }
+    }
+
     async fn apply_ticket(&self, ticket: Ticket) -> OperatorReply {
         let number = ticket.number;
         let command = ControlCommand::Ticket(ticket);
--- a/src/daemon/orders.rs
+++ b/src/daemon/orders.rs
@@ -9,7 +9,7 @@
 use crate::event::Event;
 use crate::group::Group;
 use crate::name::VersionKey;
-use crate::platform::Vm;
+use crate::vms::Vm;
 use bytes::Bytes;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
@@ -115,10 +115,11 @@
     let matters = |v: &&Version| v.state == VersionState::Withdrawn || new(&v.key());
     let versions = config.versions.values().filter(matters);
     let pools: BTreeSet<_> = versions.map(|version| version.pool.clone()).collect();
-    let listing = node.router.vms.now();
+    let Some(router) = &node.router else { return Vec::new() };
+    let listing = router.vms.now();
     let servers = pools.iter().flat_map(|pool| listing.pool(pool).to_vec());
     let asks = servers.map(|vm| async move {
-        let bytes = node.router.connections.get(vm.address, "/v1/load").await?;
+        let bytes = router.connections.get(vm.address, "/v1/load").await?;
         let report = serde_json::from_slice::<LoadReport>(&bytes).ok()?;
         let loaded = report.versions.iter().filter_map(|text| VersionKey::parse(text)).collect();
         let state = EngineState { server: vm.vm.clone(), pool: vm.pool.clone(), loaded };
@@ -145,7 +146,8 @@
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(body.to_string())))
         .expect("the request is well formed");
-    let Ok(mut lent) = node.router.connections.take(vm.address, true).await else { return false };
+    let Some(router) = &node.router else { return false };
+    let Ok(mut lent) = router.connections.take(vm.address, true).await else { return false };
     let control = node.cluster.control().clone();
     lent.guard(Arc::new(OrderPermit { control, term: fence.term }));
     node.journal.record(Event::OrderSent {
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -47,7 +47,8 @@
 
     async fn lease(self, _: Context, ask: LeaseAsk) -> LeaseAnswer {
         if !self.0.cluster.control().status().leading {
-            return LeaseAnswer::NotLeader { leader: self.0.leader() };
+            let (leader, address) = (self.0.leader(), self.0.leader_address());
+            return LeaseAnswer::NotLeader { leader, address };
         }
         self.0.grant(ask).await
     }
@@ -86,7 +87,10 @@
 async fn serve_peer(node: Arc<Node>, stream: TcpStream) {
     let own = node.identity();
     let framed = match accept(stream, &node.settings.secret, &own).await {
-        Ok((framed, _)) => framed,
+        Ok((framed, peer)) => {
+            node.welcome(&peer);
+            framed
+        }
         Err(error) => {
             node.journal.record(Event::PeerRefused { reason: error.to_string() });
             return;
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -3,6 +3,7 @@
 use super::membership::keep_members;
 use super::orders::keep_orders;
 use super::peer_server::serve_peers;
+use super::pools::LeaderPools;
 use super::rollouts::keep_rollouts;
 use super::{Node, stop};
 use crate::backend::{Connections, LoadTable};
@@ -13,12 +14,12 @@
 use crate::group::{Envelope, Group, GroupId, GroupOptions, Replicated};
 use crate::ledger::LedgerState;
 use crate::peer::{Cluster, PeerIdentity, PeerNet, dispatch};
-use crate::platform::VmList;
 use crate::route::{
     Admission, Budgets, Counters, Learner, LedgerClient, Router, RouterLease, Servers,
 };
-use crate::settings::Settings;
+use crate::settings::{Role, Settings};
 use crate::storage::DataFolder;
+use crate::vms::VmList;
 use crate::{caller, operator};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::net::{SocketAddr, TcpListener};
@@ -52,6 +53,7 @@
         log::warn!("metrics were installed before");
     }
     let node = open(settings, handle).await?;
+    let router = node.router.clone().expect("a daemon of this role routes");
     node.journal.record(Event::DaemonStarted {
         data_centre: node.settings.data_centre.clone(),
         durable: node.identity().durable,
@@ -61,15 +63,15 @@
         .map_err(|cause| bind_error(node.settings.peers, cause))?;
     tokio::spawn(serve_peers(node.clone(), peers));
     tokio::spawn(keep_members(node.clone()));
-    tokio::spawn(keep_lease(node.clone()));
+    tokio::spawn(keep_lease(node.clone(), router.clone()));
     tokio::spawn(keep_rollouts(node.clone()));
     tokio::spawn(keep_ledgers(node.clone()));
     tokio::spawn(keep_orders(node.clone()));
     let listening = stop::Listening::of(&callers, &operators)?;
-    let caller_server = caller::serve(node.router.clone(), callers, node.settings.idle);
-    tokio::spawn(keep_places(node.router.clone()));
+    let caller_server = caller::serve(router.clone(), callers, node.settings.idle);
+    tokio::spawn(keep_places(router.clone()));
     let operator_server = operator::serve(node.clone(), operators)?;
-    stop::run_until_stopped(node, listening, caller_server, operator_server).await
+    stop::run_until_stopped(node, router, listening, caller_server, operator_server).await
 }
 
 async fn open(settings: Settings, metrics: PrometheusHandle) -> Result<Arc<Node>, Error> {
@@ -84,6 +86,7 @@
         member: MemberId(stored.as_ref().map_or_else(rand::random, |id| id.incarnation)),
         run: rand::random(),
         data_centre: settings.data_centre.clone(),
+        address: settings.peers,
         durable: stored.is_some(),
         cluster: stored.and_then(|id| id.cluster),
     };
@@ -99,10 +102,11 @@
         settings,
         journal,
         cluster,
-        router,
+        router: Some(router),
         folder: Mutex::new(folder),
         leases: Mutex::new(None),
         board: Mutex::new(None),
+        pools: LeaderPools::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
     }))
@@ -135,14 +139,15 @@
     Ok(journal)
 }
 
-fn open_groups(
+pub(super) fn open_groups(
     settings: &Settings,
     folder: Option<&DataFolder>,
     member: MemberId,
     outbox: &mpsc::UnboundedSender<Envelope>,
     journal: &Arc<Journal>,
 ) -> Result<Vec<Group>, Error> {
-    let ledgers = (0..settings.ledger_groups).map(GroupId::Ledger);
+    let count = if settings.role == Role::All { settings.ledger_groups } else { 0 };
+    let ledgers = (0..count).map(GroupId::Ledger);
     let mut groups = Vec::new();
     for id in [GroupId::Control].into_iter().chain(ledgers) {
         let store = folder.map(|folder| folder.group(&id.to_string())).transpose()?;
@@ -205,10 +210,10 @@
     })
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+pub(super) fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).map_err(|cause| bind_error(address, cause))
 }
 
-fn bind_error(address: SocketAddr, cause: std::io::Error) -> Error {
+pub(super) fn bind_error(address: SocketAddr, cause: std::io::Error) -> Error {
     Error::Bind { address: address.to_string(), cause }
 }
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -3,6 +3,7 @@
 use super::Node;
 use crate::error::Error;
 use crate::event::Event;
+use crate::route::Router;
 use socket2::Socket;
 use std::net::{Shutdown, TcpListener};
 use std::sync::Arc;
@@ -53,6 +54,7 @@
 /// Serves until a signal or an operator ends it, then stops without cutting a request.
 pub async fn run_until_stopped(
     node: Arc<Node>,
+    router: Arc<Router>,
     listening: Listening,
     callers: ServerFuture,
     operators: ServerFuture,
@@ -68,11 +70,11 @@
         () = node.stop.notified() => {}
     }
     node.journal.record(Event::DaemonStopping);
-    node.router.draining.store(true, Ordering::SeqCst);
+    router.draining.store(true, Ordering::SeqCst);
     tokio::time::sleep(node.settings.drain).await;
     callers.close().await;
     // Work may outlive its caller's connection.
-    while node.router.counters.requests() > 0 {
+    while router.counters.requests() > 0 {
         tokio::time::sleep(LOOK_EVERY).await;
     }
     node.cluster.groups().for_each(|group| group.hand_over());
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,320 @@
+//! The life of one call: look-up, key, body, attempts, answer.
+
+use super::place::{Wanted, draw_pool, hash_of};
+use super::relay::{Relay, relay};
+use super::reply::{ReplyBody, strip_hop_headers, whole};
+use super::sent::{Exchange, Sent};
+use super::{CallHead, Compiled, Found, Gateway, ModelWish, Refused};
+use crate::control::{ConfiguredRoute, KeyHash};
+use crate::name::{ModelName, OrganisationName, PoolName, VersionName, VmName};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Servers tried for one call, also those that no byte reached.
+const TRIES: usize = 8;
+/// The largest answer that is not a stream, in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+/// The deadline of a call whose route is not known yet.
+const RECEIVE_LIMIT: Duration = Duration::from_secs(10);
+/// The part of a call's time that the first of several attempts at a plain service gets.
+const FIRST_PART: f64 = 0.4;
+/// How many times its aim a stream's first event may take before another server is asked.
+const PATIENCE: u32 = 3;
+
+/// A call as its attempts see it.
+pub struct Call {
+    /// The router.
+    pub gateway: Arc<Gateway>,
+    /// The configuration that it came under.
+    pub compiled: Arc<Compiled>,
+    /// Its route.
+    pub route: ConfiguredRoute,
+    /// Its pool.
+    pub pool: PoolName,
+    /// What its head says.
+    pub head: CallHead,
+    /// The hash of its key.
+    pub key: Option<KeyHash>,
+    /// Whose call it is.
+    pub owner: Option<OrganisationName>,
+    /// Its rank at engines.
+    pub priority: Option<u8>,
+    /// The model that the router chose.
+    pub model: Option<ModelName>,
+    /// The prompt's parts as the chosen model keeps them, with their tokens.
+    pub parts: Vec<(u64, u32)>,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When it must be answered at the latest.
+    pub until: Instant,
+}
+
+/// What was tried for a call so far.
+#[derive(Debug, Default)]
+pub struct Tried {
+    /// Servers that it was sent to, or that could not be reached.
+    pub servers: Vec<VmName>,
+    /// Attempts that reached a server.
+    pub sends: u32,
+    /// Why the last attempt brought nothing; `None` while no attempt may have run.
+    pub lost: Option<String>,
+}
+
+/// Serves one request.
+pub async fn serve(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<ReplyBody>, Refused> {
+    let started = Instant::now();
+    let call = accept(gateway, request, started).await?;
+    let until = call.until;
+    let call = Arc::new(call);
+    call.gateway.called(&call.pool);
+    let mut tried = Tried::default();
+    let work = attempt(&call, &mut tried);
+    match tokio::time::timeout_at(until.into(), work).await {
+        Ok(answer) => answer,
+        Err(_) if tried.sends == 0 => Err(Refused::Late),
+        Err(_) => Err(Refused::TimedOut),
+    }
+}
+
+/// Reads a request and finds out whether and how it is to be served.
+async fn accept(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    started: Instant,
+) -> Result<Call, Refused> {
+    if gateway.closed.load(Ordering::Relaxed) {
+        return Err(Refused::Stopping);
+    }
+    let compiled = gateway.compiled().ok_or(Refused::NoLease)?;
+    let (parts, body) = request.into_parts();
+    let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or("").to_owned();
+    let path = parts.uri.path();
+    let missing = || Refused::NoRoute(format!("{host}{path}"));
+    let route = compiled.route(&host, path).ok_or_else(missing)?.clone();
+    let head = gateway.format.read(&parts.headers).map_err(Refused::Malformed)?;
+    let key = head.key.as_deref().map(KeyHash::of);
+    let (owner, rank) = match compiled.owner(&route, key.as_ref()) {
+        Found::Free => (None, None),
+        Found::Owner(owner) => (Some(owner.name.clone()), owner.priority),
+        Found::Stranger => return Err(Refused::NoKey),
+    };
+    let deadline = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let until = started + deadline;
+    let limit = compiled.limits().body;
+    let body = receive(body, limit, until.min(started + RECEIVE_LIMIT)).await?;
+    let hash = hash_of(head.id.as_ref().map_or(&[][..], |id| id.as_bytes()));
+    let pool = draw_pool(&route, hash).ok_or_else(missing)?.clone();
+    let model = match &head.model {
+        ModelWish::Any => route.models.last().cloned(),
+        ModelWish::Named(_) | ModelWish::Unnamed => None,
+    };
+    let engine = compiled
+        .config
+        .table
+        .as_ref()
+        .and_then(|table| table.pool(&pool))
+        .map(|p| p.engine.is_some());
+    let priority = (engine == Some(true)).then(|| rank.unwrap_or(route.priority).min(9));
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri = path.parse().map_err(|_| Refused::Malformed("the path".to_owned()))?;
+    Ok(Call {
+        gateway: gateway.clone(),
+        parts: salted(&head, model.as_ref()),
+        compiled,
+        pool,
+        key: owner.as_ref().and(key),
+        owner,
+        priority,
+        model,
+        head,
+        route,
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        body,
+        until,
+    })
+}
+
+/// The prompt's parts as one model keeps them; another model's cache is another one.
+fn salted(head: &CallHead, model: Option<&ModelName>) -> Vec<(u64, u32)> {
+    let named = match &head.model {
+        ModelWish::Named(name) => Some(name),
+        _ => model,
+    };
+    let salt = named.map_or(0, |name| hash_of(name.as_str()));
+    head.parts.iter().map(|part| (part.id ^ salt, part.tokens)).collect()
+}
+
+async fn receive(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, Refused> {
+    let read = Limited::new(body, limit).collect();
+    match tokio::time::timeout_at(until.into(), read).await {
+        Err(_) => Err(Refused::TooSlow),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refused::TooLarge(limit)),
+        Ok(Err(error)) => Err(Refused::Malformed(error.to_string())),
+    }
+}
+
+/// Tries servers until one answers.
+async fn attempt(call: &Arc<Call>, tried: &mut Tried) -> Result<Response<ReplyBody>, Refused> {
+    loop {
+        let mut exchange = match call.next(tried, None).await {
+            Ok(exchange) => exchange,
+            Err(refused) => return Err(refused),
+        };
+        let failed = exchange.response.status().is_server_error();
+        if failed && call.may_go_on(tried) {
+            drain(exchange).await;
+            continue;
+        }
+        let stream = call.route.kind.is_stream() && exchange.response.status().is_success();
+        if stream {
+            match Relay::open(call.clone(), exchange).await {
+                Ok(opened) => return Ok(relay(opened, std::mem::take(tried))),
+                Err(cause) => {
+                    tried.lost = Some(cause);
+                    continue;
+                }
+            }
+        }
+        exchange.begun();
+        match collect(exchange).await {
+            Ok(response) => return Ok(response),
+            Err(cause) => tried.lost = Some(cause),
+        }
+    }
+}
+
+/// Reads an answer that is not passed on, so that its connection can be used again.
+async fn drain(mut exchange: Box<Exchange>) {
+    let body = Limited::new(exchange.response.body_mut(), ANSWER_BYTES).collect().await;
+    if body.is_ok() {
+        exchange.finish();
+    }
+}
+
+/// Takes in a whole answer before any of it goes out: a truncated one can then be asked for again.
+async fn collect(mut exchange: Box<Exchange>) -> Result<Response<ReplyBody>, String> {
+    let read = Limited::new(exchange.response.body_mut(), ANSWER_BYTES).collect().await;
+    let body = match read {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            exchange.placed.server.failed();
+            return Err(format!("the answer broke off: {error}"));
+        }
+    };
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = exchange.response.status();
+    let mut headers = std::mem::take(exchange.response.headers_mut());
+    strip_hop_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    *response.headers_mut() = headers;
+    exchange.finish();
+    Ok(response)
+}
+
+impl Call {
+    /// Sends the call to one server after the other until one answers. `event` is the last one that
+    /// went to the caller, where an answer is to be resumed.
+    pub(super) async fn next(
+        &self,
+        tried: &mut Tried,
+        event: Option<u64>,
+    ) -> Result<Box<Exchange>, Refused> {
+        let session = self.head.session.as_deref();
+        let hash = match session {
+            Some(session) => hash_of(session),
+            None => hash_of(self.head.id.as_ref().map_or(&[][..], |id| id.as_bytes())),
+        };
+        let pinned: Option<Option<VersionName>> =
+            session.and_then(|session| self.gateway.sessions.version(session));
+        loop {
+            if tried.sends > 0 && !self.may_go_on(tried) {
+                return Err(self.give_up(tried));
+            }
+            let wanted = Wanted {
+                pool: &self.pool,
+                hash,
+                pinned: pinned.as_ref(),
+                parts: &self.parts,
+                tried: &tried.servers,
+            };
+            let place = self.gateway.place(&self.compiled, &wanted);
+            let Some(place) = place.filter(|_| tried.servers.len() < TRIES) else {
+                return Err(self.give_up(tried));
+            };
+            if tried.sends > 0 && !self.gateway.may_repeat(&self.pool) {
+                return Err(self.give_up(tried));
+            }
+            let server = place.server.clone();
+            tried.servers.push(server.vm.vm.clone());
+            let patience = self.patience(tried);
+            tried.sends += 1;
+            match self.send(place, event, patience).await {
+                Sent::Answered(exchange) => {
+                    if let Some(session) = session {
+                        self.gateway.sessions.note(session, server.vm.version.clone());
+                    }
+                    return Ok(exchange);
+                }
+                Sent::Unsent(cause) => {
+                    tried.sends -= 1;
+                    log::info!("call {}: {} was not reached: {cause}", self.name(), server.vm.vm);
+                }
+                Sent::Unrun(status) => {
+                    log::info!("call {}: {} did not run it: {status}", self.name(), server.vm.vm);
+                }
+                Sent::Lost(cause) => {
+                    log::info!("call {}: lost at {}: {cause}", self.name(), server.vm.vm);
+                    tried.lost = Some(cause);
+                }
+            }
+        }
+    }
+
+    /// The caller's id of the call, for logs.
+    pub fn name(&self) -> &str {
+        self.head.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
+    /// Whether another server may be asked after those that were.
+    pub(super) fn may_go_on(&self, tried: &Tried) -> bool {
+        let again = tried.lost.is_none() || self.route.kind.may_repeat();
+        again && tried.sends < self.route.attempts && Instant::now() < self.until
+    }
+
+    fn give_up(&self, tried: &Tried) -> Refused {
+        match &tried.lost {
+            Some(cause) => Refused::Broken(cause.clone()),
+            None if tried.sends > 0 => Refused::Full,
+            None => Refused::NoServer(self.pool.to_string()),
+        }
+    }
+
+    /// How long the next server may take to the head of its answer.
+    fn patience(&self, tried: &Tried) -> Duration {
+        let left = self.until.saturating_duration_since(Instant::now());
+        let last = tried.sends + 1 >= self.route.attempts || !self.route.kind.may_repeat();
+        match self.route.kind.is_stream() {
+            _ if last => left,
+            true => left.min(self.route.aim * PATIENCE),
+            false => left.mul_f64(FIRST_PART),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,104 @@
+//! Start and stop of a daemon that only routes.
+
+use super::front::{Callers, serve_callers};
+use super::lease_loop::keep_lease;
+use super::ready::serve_ready;
+use super::{CallFormat, Gateway};
+use crate::consensus::MemberId;
+use crate::error::Error;
+use crate::event::{Event, Journal};
+use crate::peer::PeerIdentity;
+use crate::settings::Settings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+/// How often recorded events are written to the log.
+const LOG_EVERY: Duration = Duration::from_millis(250);
+/// The part of the time to stop during which new calls are still taken, so that the balancer can
+/// look away.
+const OPEN_PART: f64 = 0.42;
+/// The part of the time to stop after which the process ends, whatever still runs.
+const END_PART: f64 = 0.93;
+/// How often a stopping router looks whether all answers are out.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+/// Where a port cannot be used.
+pub async fn run(settings: Settings, format: Arc<dyn CallFormat>) -> Result<(), Error> {
+    let listener = bind(settings.callers).await?;
+    let ready = match settings.ready {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
+    let journal = Arc::new(Journal::open(settings.vm.clone()));
+    let own = PeerIdentity {
+        vm: settings.vm.clone(),
+        member: MemberId(rand::random()),
+        run: rand::random(),
+        data_centre: settings.data_centre.clone(),
+        address: settings.peers,
+        durable: false,
+        cluster: None,
+    };
+    let data_centre = settings.data_centre.clone();
+    journal.record(Event::DaemonStarted { data_centre, durable: false });
+    let gateway = Arc::new(Gateway::open(settings, format, journal));
+    tokio::spawn(keep_lease(gateway.clone(), own));
+    if let Some(ready) = ready {
+        tokio::spawn(serve_ready(gateway.clone(), ready));
+    }
+    let (close, closing) = watch::channel(false);
+    let callers = Arc::new(Callers::default());
+    tokio::spawn(serve_callers(gateway.clone(), listener, callers.clone(), closing));
+    tokio::spawn(keep_log(gateway.journal.clone()));
+    await_stop().await?;
+    stop(&gateway, &callers, &close).await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let wrap = |cause| Error::Bind { address: address.to_string(), cause };
+    TcpListener::bind(address).await.map_err(wrap)
+}
+
+async fn keep_log(journal: Arc<Journal>) {
+    loop {
+        tokio::time::sleep(LOG_EVERY).await;
+        journal.flush();
+    }
+}
+
+async fn await_stop() -> Result<(), Error> {
+    let wrap = |cause| Error::Bind { address: "signals".to_owned(), cause };
+    let mut terminate = signal(SignalKind::terminate()).map_err(wrap)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(wrap)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = hangup.recv() => log::info!("settings are read at the next start"),
+        }
+    }
+}
+
+/// Tells the balancer to look away, serves on until it has, and ends when all answers are out.
+async fn stop(gateway: &Gateway, callers: &Callers, close: &watch::Sender<bool>) {
+    let begun = Instant::now();
+    let limit = gateway.settings.bounds.stop;
+    gateway.journal.record(Event::DaemonStopping);
+    gateway.stopping.store(true, Ordering::Relaxed);
+    tokio::time::sleep(limit.mul_f64(OPEN_PART)).await;
+    gateway.closed.store(true, Ordering::Relaxed);
+    close.send_replace(true);
+    while callers.open() > 0 && begun.elapsed() < limit.mul_f64(END_PART) {
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    gateway.journal.record(Event::DaemonStopped);
+    gateway.journal.flush();
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,114 @@
+use super::server_table::ServerTable;
+use super::sessions::Sessions;
+use super::tallies::Tallies;
+use super::{CallFormat, Compiled};
+use crate::backend::Connections;
+use crate::event::Journal;
+use crate::group::since_start;
+use crate::name::{DataCentre, PoolName};
+use crate::policy::RepeatBudget;
+use crate::route::RouterLease;
+use crate::settings::Settings;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
+
+/// How long a connection to a backend server may take to open.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// A router of configured routes.
+pub struct Gateway {
+    /// How callers and backend servers write heads.
+    pub format: Arc<dyn CallFormat>,
+    /// Its settings.
+    pub settings: Settings,
+    /// Its events.
+    pub journal: Arc<Journal>,
+    /// Its lease, with the configuration.
+    pub lease: Arc<RouterLease>,
+    /// Connections to backend servers.
+    pub connections: Connections,
+    /// The backend servers.
+    pub servers: ServerTable,
+    /// The versions that sessions are bound to.
+    pub sessions: Sessions,
+    /// What it saw of versions.
+    pub tallies: Arc<Tallies>,
+    /// Whether it has stopped taking new calls.
+    pub closed: AtomicBool,
+    /// Whether it is about to stop.
+    pub stopping: AtomicBool,
+    /// Routers that share budgets with it.
+    pub routers: AtomicU32,
+    compiled: RwLock<Option<Arc<Compiled>>>,
+    budgets: Mutex<HashMap<PoolName, RepeatBudget>>,
+}
+
+impl Gateway {
+    /// Starts without lease, configuration or servers.
+    pub fn open(settings: Settings, format: Arc<dyn CallFormat>, journal: Arc<Journal>) -> Self {
+        Self {
+            format,
+            journal,
+            lease: Arc::default(),
+            connections: Connections::open(CONNECT_LIMIT),
+            servers: ServerTable::default(),
+            sessions: Sessions::open(settings.bounds.session * 2),
+            tallies: Arc::default(),
+            closed: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            routers: AtomicU32::new(1),
+            compiled: RwLock::default(),
+            budgets: Mutex::default(),
+            settings,
+        }
+    }
+
+    /// The data centre that it stands in.
+    pub fn data_centre(&self) -> &DataCentre {
+        &self.settings.data_centre
+    }
+
+    /// The configuration in force; `None` without a lease or before there are routes.
+    pub fn compiled(&self) -> Option<Arc<Compiled>> {
+        let config = self.lease.config()?;
+        let held = self.compiled.read().expect("configuration lock").clone();
+        if let Some(held) = held.filter(|held| held.config.revision == config.revision) {
+            return Some(held);
+        }
+        let compiled = Arc::new(Compiled::of(config)?);
+        *self.compiled.write().expect("configuration lock") = Some(compiled.clone());
+        Some(compiled)
+    }
+
+    /// Whether a balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        let stopping = self.stopping.load(Ordering::Relaxed);
+        !stopping && self.servers.digest() != 0 && self.compiled().is_some()
+    }
+
+    /// A call for a pool has come.
+    pub fn called(&self, pool: &PoolName) {
+        self.with_budget(pool, |budget| budget.called(since_start()));
+    }
+
+    /// Whether a call to a pool may be sent once more.
+    pub fn may_repeat(&self, pool: &PoolName) -> bool {
+        self.with_budget(pool, |budget| budget.take(since_start()))
+    }
+
+    fn with_budget<F, T>(&self, pool: &PoolName, work: F) -> T
+    where
+        F: FnOnce(&mut RepeatBudget) -> T,
+    {
+        let bounds = &self.settings.bounds;
+        let routers = self.routers.load(Ordering::Relaxed).max(1);
+        let allowance = f64::from(bounds.extra) / f64::from(routers);
+        let mut budgets = self.budgets.lock().expect("budget lock");
+        let fresh = || RepeatBudget::open(bounds.window, bounds.repeats, allowance);
+        let budget = budgets.entry(pool.clone()).or_insert_with(fresh);
+        budget.share(allowance);
+        work(budget)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,8 @@
 //! The library holds everything that the daemon (`samphireshiftd`) and the command-line tool
 //! (`samphireshift`) share. Folders are layers; each uses only those named before it:
 //! `name`, `settings`, `event`, `storage`, `consensus`, `control`, `ledger`, `policy`, `group`,
-//! `peer`, `backend`, `platform`, `route`, and the two HTTP fronts `caller` and `operator`.
+//! `peer`, `backend`, `vms`, `route`, the two HTTP fronts `caller` and `operator`, and `gateway`, the
+//! router of configured routes.
 
 pub mod backend;
 pub mod caller;
@@ -14,13 +15,14 @@
 pub mod error;
 pub mod event;
 pub mod exit_codes;
+pub mod gateway;
 pub mod group;
 pub mod ledger;
 pub mod name;
 pub mod operator;
 pub mod peer;
-pub mod platform;
 pub mod policy;
 pub mod route;
 pub mod settings;
 pub mod storage;
+pub mod vms;
--- a/src/operator/front.rs
+++ b/src/operator/front.rs
@@ -169,7 +169,13 @@
         OperatorReply::BillSums(sums) => document(&sums),
         OperatorReply::Bills(bills) => document(&bills),
         OperatorReply::LiveRouters(live) => document(&live),
-        OperatorReply::NotLeader { .. } | OperatorReply::Lost => Err(Problem(503, text.to_owned())),
+        OperatorReply::Table(table) => document(&table),
+        OperatorReply::PoolRollout(rollout) => document(&rollout),
+        OperatorReply::Committed => document(&serde_json::json!({ "committed": true })),
+        OperatorReply::NoPool => Err(Problem(404, "there is no such pool".to_owned())),
+        OperatorReply::NotLeader { .. } | OperatorReply::Lost | OperatorReply::Forming => {
+            Err(Problem(503, text.to_owned()))
+        }
     }
 }
 
--- a/src/operator/timeline.rs
+++ b/src/operator/timeline.rs
@@ -40,9 +40,10 @@
 pub async fn collect(node: &Node, query: &EventQuery) -> Timeline {
     let mut timeline = Timeline::default();
     timeline.add(node.settings.vm.as_str(), node.journal.select(query));
-    let links = node.cluster.net().links().iter();
-    let answers = futures::future::join_all(links.map(|link| fetch(link, query))).await;
-    for (link, answer) in node.cluster.net().links().iter().zip(answers) {
+    let links = node.cluster.net().links();
+    let asks = links.iter().map(|link| fetch(link, query));
+    let answers = futures::future::join_all(asks).await;
+    for (link, answer) in links.iter().zip(answers) {
         let name = daemon_name(link);
         match answer {
             Some(page) => timeline.add(&name, page),
--- a/src/peer/identity.rs
+++ b/src/peer/identity.rs
@@ -1,6 +1,7 @@
 use crate::consensus::MemberId;
 use crate::name::{DataCentre, VmName};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Who a daemon is, told at the handshake and with every ping.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,6 +14,8 @@
     pub run: u64,
     /// Where it stands.
     pub data_centre: DataCentre,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
     /// Whether it has a data folder.
     pub durable: bool,
     /// Its cluster, once known.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -2,10 +2,11 @@
 use crate::event::{Event, Journal};
 use crate::group::since_start;
 use std::net::SocketAddr;
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, OnceLock, RwLock};
 use std::time::{Duration, Instant};
 use tarpc::context;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 /// How often a connection is tried out.
 const PING_EVERY: Duration = Duration::from_millis(300);
@@ -27,8 +28,10 @@
 /// The connection to one peer address; replaced as soon as it breaks or falls silent.
 pub struct Link {
     address: SocketAddr,
+    opened: Duration,
     up: RwLock<Option<Up>>,
     last: RwLock<Option<(PeerIdentity, Duration)>>,
+    task: OnceLock<AbortHandle>,
 }
 
 impl Link {
@@ -39,11 +42,27 @@
         own: Arc<RwLock<PeerIdentity>>,
         journal: Arc<Journal>,
     ) -> Arc<Self> {
-        let link = Arc::new(Self { address, up: RwLock::new(None), last: RwLock::new(None) });
-        tokio::spawn(keep(link.clone(), secret, own, journal));
+        let (up, last, task) = (RwLock::default(), RwLock::default(), OnceLock::new());
+        let link = Arc::new(Self { address, opened: since_start(), up, last, task });
+        let keeper = tokio::spawn(keep(link.clone(), secret, own, journal));
+        link.task.get_or_init(|| keeper.abort_handle());
         link
     }
 
+    /// How long nothing has been heard there.
+    pub fn silence(&self) -> Duration {
+        let heard = self.last().map_or(self.opened, |(_, heard)| heard);
+        since_start().saturating_sub(heard)
+    }
+
+    /// Gives the connection up for good.
+    pub fn close(&self) {
+        if let Some(task) = self.task.get() {
+            task.abort();
+        }
+        self.set(None);
+    }
+
     /// The address that it connects to.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -80,7 +99,8 @@
     journal: Arc<Journal>,
 ) {
     loop {
-        if let Some((client, identity)) = open(&link, &secret, &own, &journal).await {
+        let identity = own.read().expect("identity lock").clone();
+        if let Some((client, identity)) = dial(link.address, &secret, &identity, &journal).await {
             watch(&link, client, identity).await;
             link.set(None);
             journal.record(Event::PeerSilent { peer: link.address.to_string() });
@@ -89,19 +109,19 @@
     }
 }
 
-async fn open(
-    link: &Link,
+/// Connects to a peer once.
+pub async fn dial(
+    address: SocketAddr,
     secret: &str,
-    own: &RwLock<PeerIdentity>,
+    own: &PeerIdentity,
     journal: &Arc<Journal>,
 ) -> Option<(PeerClient, PeerIdentity)> {
-    let dial = TcpStream::connect(link.address);
-    let stream = tokio::time::timeout(CONNECT_LIMIT, dial).await.ok()?.ok()?;
-    let own = own.read().expect("identity lock").clone();
-    let (framed, identity) = match handshake::connect(stream, secret, &own).await {
+    let connect = TcpStream::connect(address);
+    let stream = tokio::time::timeout(CONNECT_LIMIT, connect).await.ok()?.ok()?;
+    let (framed, identity) = match handshake::connect(stream, secret, own).await {
         Ok(done) => done,
         Err(error) => {
-            log::debug!("handshake with {}: {error}", link.address);
+            log::debug!("handshake with {address}: {error}");
             return None;
         }
     };
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,11 +1,16 @@
-use crate::control::{Config, Evidence, LearnedEntry, Router, Ticket, TicketAnswer, TicketRecord};
+use crate::control::{
+    Config, Evidence, LearnedEntry, PoolRollout, RouteTable, Router, Ticket, TicketAnswer,
+    TicketRecord,
+};
 use crate::event::Stamp;
 use crate::group::{GroupId, SubmitError};
 use crate::ledger::{Bill, BillSum};
-use crate::name::{DataCentre, OrganisationName, VersionKey, VmName};
-use crate::policy::{CountReport, Epoch, KnowledgeChange};
+use crate::name::{DataCentre, OrganisationName, PoolName, VersionKey, VmName};
+use crate::policy::{CountReport, Epoch, KnowledgeChange, Tally};
+use crate::vms::VmSnapshot;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// A router asks for its lease.
@@ -21,6 +26,28 @@
     pub report: Option<CountReport>,
     /// What its knowledge is up to date with.
     pub epoch: Epoch,
+    /// What a daemon that only routes knows and saw.
+    pub pools: Option<PoolReport>,
+}
+
+/// What a daemon that only routes tells with its ask.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PoolReport {
+    /// The digest of the VM list that it works with; 0 for none.
+    pub listing: u64,
+    /// What it saw of pools under roll-out.
+    pub tallies: Vec<Tally>,
+}
+
+/// What a daemon that only routes is told with its lease.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PoolNews {
+    /// The VM list, where the router has another one.
+    pub listing: Option<Arc<VmSnapshot>>,
+    /// Where the voters listen for peers.
+    pub voters: Vec<SocketAddr>,
+    /// Routers with a live lease.
+    pub routers: u32,
 }
 
 /// The leader's answer.
@@ -36,11 +63,15 @@
         counted: u64,
         /// What was learned since the router's epoch.
         learned: Option<KnowledgeChange>,
+        /// For a daemon that only routes.
+        news: Option<PoolNews>,
     },
     /// This daemon does not lead.
     NotLeader {
         /// Who does, as far as known.
         leader: Option<VmName>,
+        /// Where that one listens for peers.
+        address: Option<SocketAddr>,
     },
 }
 
@@ -92,6 +123,14 @@
     Bills(OrganisationName),
     /// Routers with a live lease.
     LiveRouters,
+    /// Replace the route table.
+    Replace(Arc<RouteTable>),
+    /// The route table.
+    Table,
+    /// Start a pool's roll-out.
+    Begin(PoolRollout),
+    /// The newest roll-out of a pool.
+    PoolRollout(PoolName),
 }
 
 /// The leader's answer to an operator.
@@ -127,6 +166,16 @@
     Bills(Vec<Bill>),
     /// Routers with a live lease; `None` while a predecessor's leases may still be alive.
     LiveRouters(Option<Vec<Router>>),
+    /// A route table or a pool's roll-out is committed, or was already.
+    Committed,
+    /// There are too few voters yet to keep a change through a loss.
+    Forming,
+    /// There is no such pool.
+    NoPool,
+    /// The route table, where there is one.
+    Table(Option<Arc<RouteTable>>),
+    /// A pool's newest roll-out, where there is one.
+    PoolRollout(Option<PoolRollout>),
 }
 
 /// What is known of versions from their answers.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -14,10 +14,10 @@
 pub use codec::Postcard;
 pub use handshake::{HandshakeError, accept, connect};
 pub use identity::PeerIdentity;
-pub use link::Link;
+pub use link::{Link, dial};
 pub use message::{
     EventAnswer, EvidenceView, GroupView, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall,
-    OperatorReply, StoppedVersion, SubmitAnswer,
+    OperatorReply, PoolNews, PoolReport, StoppedVersion, SubmitAnswer,
 };
 pub use net::PeerNet;
 pub use outbox::dispatch;
--- a/src/policy/replica.rs
+++ b/src/policy/replica.rs
@@ -1,5 +1,5 @@
 use super::Load;
-use crate::platform::Vm;
+use crate::vms::Vm;
 use rand::Rng;
 use std::sync::Arc;
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,12 +1,16 @@
 //! The daemon's settings: an INI file read once at start and checked as a whole.
 
+mod bounds;
 mod issue;
 mod key;
 mod reader;
+mod role;
 mod unit;
 
+pub use bounds::Bounds;
 pub use issue::{SettingsErrors, SettingsIssue};
 pub use key::KeySpec;
+pub use role::Role;
 pub use unit::{parse_duration, parse_size};
 
 use crate::error::Error;
@@ -30,6 +34,8 @@
 /// Everything that one daemon is told at start.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// What the daemon does.
+    pub role: Role,
     /// This VM's name.
     pub vm: VmName,
     /// The data centre that this VM stands in.
@@ -46,6 +52,16 @@
     pub secret: String,
     /// Peer addresses of the other daemons.
     pub peer_list: Vec<SocketAddr>,
+    /// Operator addresses of some voters; all daemons use the same port for peers.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole cluster starts for the first time, with empty data folders.
+    pub first_start: bool,
+    /// Where a router tells a balancer whether it takes calls.
+    pub ready: Option<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// What a fleet of routers and voters promises.
+    pub bounds: Bounds,
     /// The number of voters to aim for.
     pub voters: usize,
     /// The number of ledger groups, fixed at founding.
@@ -115,6 +131,9 @@
         let settings = Self::read(&mut r);
         r.check_ports(&[settings.callers, settings.operators, settings.peers]);
         r.check_folder(settings.data_folder.as_deref());
+        if settings.role == Role::Router {
+            r.check_seeds(&settings.seeds);
+        }
         r.check_lease(settings.lease, settings.renew);
         r.check_fail_over(settings.lease, settings.election, settings.heartbeat);
         r.finish(settings)
@@ -133,29 +152,41 @@
     }
 
     fn read(r: &mut Reader) -> Self {
+        let role = r.role("vm", "role");
+        let (routes, votes) = (role != Role::Voter, role != Role::Router);
+        let bounds = Self::read_bounds(r);
+        let lease = r.duration("lease", "duration", "2500ms", "500ms", "3s");
+        let voters = r.number("cluster", "voters", 3, 1, 9) as usize;
+        let losses = r.number("cluster", "losses", 0, 0, 4) as usize;
         Self {
+            role,
             vm: VmName::new(r.name("vm", "name")),
             data_centre: DataCentre::new(r.name("vm", "data_centre")),
             data_folder: r.folder("vm", "data_folder"),
-            callers: r.address("listen", "callers"),
-            operators: r.address("listen", "operators"),
+            callers: r.address_if(routes, "listen", "callers"),
+            operators: r.address_if(votes, "listen", "operators"),
             peers: r.address("listen", "peers"),
             secret: r.secret("cluster", "secret"),
             peer_list: r.addresses("cluster", "peers"),
-            voters: r.number("cluster", "voters", 3, 1, 9) as usize,
+            seeds: r.addresses("cluster", "seeds"),
+            first_start: r.truth("cluster", "first_start"),
+            ready: r.optional_address("listen", "ready"),
+            metrics: r.optional_address("listen", "metrics"),
+            bounds,
+            voters: if losses > 0 { 2 * losses + 1 } else { voters },
             ledger_groups: r.number("cluster", "ledger_groups", 1, 1, 64) as u16,
-            token: r.secret("operators", "token"),
+            token: r.secret_if(role == Role::All, "operators", "token"),
             retention: Retention {
                 pins: r.duration("ledger", "keep_pins", "72h", "1s", "8760h"),
                 claims: r.duration("ledger", "keep_claims", "72h", "1s", "8760h"),
                 bills: r.duration("ledger", "keep_bills", "24h", "1s", "8760h"),
             },
-            lease: r.duration("lease", "duration", "2500ms", "500ms", "3s"),
+            lease: if role == Role::All { lease } else { bounds.lease() },
             renew: r.duration("lease", "renew", "250ms", "20ms", "1s"),
             election: r.duration("consensus", "election", "600ms", "100ms", "10s"),
             heartbeat: r.duration("consensus", "heartbeat", "100ms", "10ms", "2s"),
             replace_after: r.duration("consensus", "replace_after", "10s", "1s", "1h"),
-            vm_list: r.vm_list("platform", "vm_list"),
+            vm_list: r.vm_list(votes, "platform", "vm_list"),
             poll: r.duration("platform", "poll", "500ms", "50ms", "1m"),
             rating: r.optional_address("rating", "address"),
             sample: r.number("rating", "sample", 200, 0, 1000),
@@ -175,4 +206,16 @@
             drain: r.duration("limits", "drain", "2s", "0ms", "5m"),
         }
     }
+
+    fn read_bounds(r: &mut Reader) -> Bounds {
+        Bounds {
+            revoke: r.duration("promises", "revoke", "3s", "1s", "1m"),
+            stop: r.duration("promises", "stop", "30s", "1s", "10m"),
+            session: r.duration("promises", "session", "1m", "100ms", "24h"),
+            repeats: r.decimal("promises", "repeats", 0.1, 0.0, 10.0),
+            window: r.duration("promises", "repeat_window", "10s", "1s", "10m"),
+            extra: r.number("promises", "repeat_extra", 20, 0, 100_000) as u32,
+            exposure: r.decimal("promises", "exposure", 0.1, 0.0, 1.0),
+        }
+    }
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -1,17 +1,19 @@
 use super::issue::{SettingsErrors, SettingsIssue};
 use super::key::KeySpec;
 use super::unit::{parse_duration, parse_size};
-use super::{Settings, VmListSource};
+use super::{Role, Settings, VmListSource};
 use crate::policy::Balance;
 use ini::Ini;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 const NAME_LIMIT: usize = 64;
 const SECRET_MIN: usize = 8;
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
+/// Stands for an address that is not given.
+const UNUSED: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 const ADDRESSES: &str = "IP addresses and ports, separated by commas";
 /// A lease must outlast this many renewals, so that one lost message costs nothing.
 const RENEWALS_PER_LEASE: u32 = 3;
@@ -92,9 +94,16 @@
     }
 
     pub fn address(&mut self, section: &str, key: &str) -> SocketAddr {
-        let none = SocketAddr::from(([0, 0, 0, 0], 0));
-        let Some(value) = self.required(section, key, ADDRESS) else { return none };
-        self.parse_address(section, key, &value).unwrap_or(none)
+        let Some(value) = self.required(section, key, ADDRESS) else { return UNUSED };
+        self.parse_address(section, key, &value).unwrap_or(UNUSED)
+    }
+
+    /// An address that is needed only by some roles.
+    pub fn address_if(&mut self, needed: bool, section: &str, key: &str) -> SocketAddr {
+        match needed {
+            true => self.address(section, key),
+            false => self.optional_address(section, key).unwrap_or(UNUSED),
+        }
     }
 
     pub fn optional_address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
@@ -103,6 +112,56 @@
         self.parse_address(section, key, &value)
     }
 
+    /// A secret that is needed only by some roles.
+    pub fn secret_if(&mut self, needed: bool, section: &str, key: &str) -> String {
+        match needed {
+            true => self.secret(section, key),
+            false => self.optional(section, key).unwrap_or_default(),
+        }
+    }
+
+    pub fn role(&mut self, section: &str, key: &str) -> Role {
+        let allowed = "all, router or voter";
+        self.describe(section, key, allowed, "all");
+        let Some(value) = self.optional(section, key) else { return Role::All };
+        match value.as_str() {
+            "all" => Role::All,
+            "router" => Role::Router,
+            "voter" => Role::Voter,
+            _ => {
+                self.fault(section, key, &format!("'{value}' is not allowed; give {allowed}"));
+                Role::All
+            }
+        }
+    }
+
+    pub fn truth(&mut self, section: &str, key: &str) -> bool {
+        self.describe(section, key, "true or false", "false");
+        match self.optional(section, key).as_deref() {
+            None | Some("false") => false,
+            Some("true") => true,
+            Some(value) => {
+                let text = format!("'{value}' is not allowed; give true or false");
+                self.fault(section, key, &text);
+                false
+            }
+        }
+    }
+
+    pub fn decimal(&mut self, section: &str, key: &str, default: f64, low: f64, high: f64) -> f64 {
+        let allowed = format!("a number from {low} to {high}, with decimals");
+        self.describe(section, key, &allowed, &default.to_string());
+        let Some(value) = self.optional(section, key) else { return default };
+        match value.parse::<f64>() {
+            Ok(n) if (low..=high).contains(&n) => n,
+            _ => {
+                let text = format!("'{value}' is not allowed; give {allowed}");
+                self.fault(section, key, &text);
+                default
+            }
+        }
+    }
+
     /// An optional path of a folder.
     pub fn folder(&mut self, section: &str, key: &str) -> Option<PathBuf> {
         self.describe(section, key, "the path of a folder that can be written", "none");
@@ -185,8 +244,11 @@
         parse(default).unwrap_or_default()
     }
 
-    pub fn vm_list(&mut self, section: &str, key: &str) -> VmListSource {
+    pub fn vm_list(&mut self, needed: bool, section: &str, key: &str) -> VmListSource {
         let allowed = "an address to query (http://10.0.0.9:7000) or a file's path";
+        if !needed && self.optional(section, key).is_none() {
+            return VmListSource::File(PathBuf::new());
+        }
         let Some(value) = self.required(section, key, allowed) else {
             return VmListSource::File(PathBuf::new());
         };
@@ -246,6 +308,13 @@
         }
     }
 
+    pub fn check_seeds(&mut self, seeds: &[SocketAddr]) {
+        if seeds.is_empty() {
+            let text = format!("a router finds its voters by them; give {ADDRESSES}");
+            self.fault("cluster", "seeds", &text);
+        }
+    }
+
     pub fn check_lease(&mut self, lease: Duration, renew: Duration) {
         if lease >= renew * RENEWALS_PER_LEASE {
             return;
--- a/src/settings/unit.rs
+++ b/src/settings/unit.rs
@@ -7,7 +7,7 @@
 const KIB: u64 = 1 << 10;
 const MIB: u64 = 1 << 20;
 
-/// Parses a duration such as `250ms`, `2s`, `5m` or `1h`.
+/// Parses a duration such as `250ms`, `2s`, `8.5s`, `5m` or `1h`.
 ///
 /// ```
 /// use samphireshift::settings::parse_duration;
@@ -35,6 +35,12 @@
         if let Ok(n) = digits.trim().parse::<u64>() {
             return n.checked_mul(*factor);
         }
+        if let Ok(n) = digits.trim().parse::<f64>()
+            && n >= 0.0
+            && n * (*factor as f64) < u64::MAX as f64
+        {
+            return Some((n * *factor as f64).round() as u64);
+        }
     }
     None
 }
--- a/src/platform/vm.rs
+++ b/src/vms/vm.rs
@@ -1,4 +1,4 @@
-use crate::name::{DataCentre, PoolName, VmName};
+use crate::name::{DataCentre, PoolName, VersionName, VmName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -25,4 +25,10 @@
     pub pool: PoolName,
     /// Whether it may be given work.
     pub state: VmState,
+    /// The version of the pool's software that it runs, where the platform tells.
+    #[serde(default)]
+    pub version: Option<VersionName>,
+    /// Requests that it serves at a time; 0 where the platform does not tell.
+    #[serde(default)]
+    pub slots: u32,
 }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -10,11 +10,11 @@
 use samphireshift::backend::{CacheChange, CacheEvent, LoadSink};
 use samphireshift::event::Journal;
 use samphireshift::name::{DataCentre, OrganisationName, PoolName, VmName};
-use samphireshift::platform::{Vm, VmState};
 use samphireshift::policy::{
     Balance, Candidate, FairQueue, Limit, Load, PrefixKeys, PrefixTable, Queued, pick_replica,
 };
 use samphireshift::route::Servers;
+use samphireshift::vms::{Vm, VmState};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -29,6 +29,8 @@
         data_centre: DataCentre::new("dc"),
         pool: PoolName::new("pool"),
         state: VmState::Live,
+        version: None,
+        slots: 0,
     };
     Candidate {
         vm: vm.into(),
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -13,9 +13,9 @@
     EventAnswer, LeaseAnswer, LeaseAsk, NodeStatus, OperatorCall, OperatorReply, PeerIdentity,
     SubmitAnswer,
 };
-use samphireshift::platform::Vm;
 use samphireshift::settings::{Settings, parse_duration, parse_size};
 use samphireshift::storage::{DataFolder, StorageError};
+use samphireshift::vms::Vm;
 use serde_json::json;
 
 /// Texts that look like what the parsers read.
@@ -183,6 +183,7 @@
         member: MemberId(7),
         run: 9,
         data_centre: DataCentre::new("d"),
+        address: ([127, 0, 0, 1], 1).into(),
         durable: true,
         cluster: Some(u128::MAX),
     };
--- a/tests/membership_plan.rs
+++ b/tests/membership_plan.rs
@@ -15,6 +15,7 @@
         id: MemberId(u64::from(*vm) * 10 + u64::from(incarnation - b'0')),
         vm: VmName::new((*vm as char).to_string()),
         data_centre: DataCentre::new(format!("dc-{}", *place as char)),
+        address: ([127, 0, 0, 1], 1).into(),
         durable: *disk == b'd',
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -146,7 +146,8 @@
 
     fn member(&self, i: usize) -> Member {
         let (vm, data_centre) = (VmName::new(format!("vm-{i}")), DataCentre::new("dc"));
-        Member { id: self.nodes[i].id, vm, data_centre, durable: true }
+        let address = ([127, 0, 0, 1], 1).into();
+        Member { id: self.nodes[i].id, vm, data_centre, address, durable: true }
     }
 
     fn chance(&mut self, thousandths: u32) -> bool {
