Ask the smallest model first, the largest where it is not sure

A refusal behind an escalation said 503 though the call had run, as the budget was asked twice: it is asked once now.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,10 +23,13 @@
 const RECEIVE_LIMIT: Duration = Duration::from_secs(10);
 /// The part of a call's time that the first of several attempts at a plain service gets.
 const FIRST_PART: f64 = 0.4;
+/// The confidence from which on a smaller model's answer is passed on.
+const SURE: u8 = 50;
 /// How many times its aim a stream's first event may take before another server is asked.
 const PATIENCE: u32 = 3;
 
 /// A call as its attempts see it.
+#[derive(Clone)]
 pub struct Call {
     /// The router.
     pub gateway: Arc<Gateway>,
@@ -69,6 +72,8 @@
     pub sends: u32,
     /// Why the last attempt brought nothing; `None` while no attempt may have run.
     pub lost: Option<String>,
+    /// Whether the budget has already been asked for the next attempt.
+    pub paid: bool,
 }
 
 /// Serves one request.
@@ -120,7 +125,7 @@
     let hash = hash_of(head.id.as_ref().map_or(&[][..], |id| id.as_bytes()));
     let pool = draw_pool(&route, hash).ok_or_else(missing)?.clone();
     let model = match &head.model {
-        ModelWish::Any => route.models.last().cloned(),
+        ModelWish::Any => route.models.first().cloned(),
         ModelWish::Named(_) | ModelWish::Unnamed => None,
     };
     let engine = compiled
@@ -173,6 +178,7 @@
 
 /// Tries servers until one answers.
 async fn attempt(call: &Arc<Call>, tried: &mut Tried) -> Result<Response<ReplyBody>, Refused> {
+    let mut call = call.clone();
     loop {
         let mut exchange = match call.next(tried, None).await {
             Ok(exchange) => exchange,
@@ -183,6 +189,13 @@
             drain(exchange).await;
             continue;
         }
+        if let Some(larger) = call.escalation(&exchange, tried) {
+            exchange.set_aside();
+            tried.servers.clear();
+            tried.paid = true;
+            call = Arc::new(larger);
+            continue;
+        }
         let stream = call.route.kind.is_stream() && exchange.response.status().is_success();
         if stream {
             match Relay::open(call.clone(), exchange).await {
@@ -259,7 +272,8 @@
             let Some(place) = place.filter(|_| tried.servers.len() < TRIES) else {
                 return Err(self.give_up(tried));
             };
-            if tried.sends > 0 && !self.gateway.may_repeat(&self.pool) {
+            let paid = std::mem::take(&mut tried.paid);
+            if tried.sends > 0 && !paid && !self.gateway.may_repeat(&self.pool) {
                 return Err(self.give_up(tried));
             }
             let server = place.server.clone();
@@ -288,6 +302,19 @@
         }
     }
 
+    /// The call at a larger model, where the answer's own model is not sure enough of it.
+    fn escalation(&self, exchange: &Exchange, tried: &Tried) -> Option<Self> {
+        let (model, confidence) = (self.model.as_ref()?, exchange.head.confidence?);
+        let largest = self.route.models.last().filter(|largest| *largest != model)?;
+        let keep = confidence >= SURE || !self.may_go_on(tried);
+        log::info!("call {}: {model} is {confidence} sure, kept: {keep}", self.name());
+        if keep || !self.gateway.may_repeat(&self.pool) {
+            return None;
+        }
+        let model = Some(largest.clone());
+        Some(Self { parts: salted(&self.head, model.as_ref()), model, ..self.clone() })
+    }
+
     /// The caller's id of the call, for logs.
     pub fn name(&self) -> &str {
         self.head.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,7 +21,7 @@
 const LOG_EVERY: Duration = Duration::from_millis(250);
 /// The part of the time to stop during which new calls are still taken, so that the balancer can
 /// look away.
-const OPEN_PART: f64 = 0.42;
+const OPEN_PART: f64 = 0.35;
 /// The part of the time to stop after which the process ends, whatever still runs.
 const END_PART: f64 = 0.93;
 /// How often a stopping router looks whether all answers are out.
--- a/src/gateway/sent.rs
+++ b/src/gateway/sent.rs
@@ -61,6 +61,13 @@
         self.lent.give_back_for(idle.unwrap_or(IDLE_DEFAULT));
     }
 
+    /// The answer is not wanted: its run is given up, and the server hears of it at once.
+    pub fn set_aside(mut self: Box<Self>) {
+        self.begun();
+        let ratio = self.ratio();
+        self.counted.end(Ending::Good(ratio.ln()));
+    }
+
     /// The answer, or its first event, has come.
     pub fn begun(&mut self) {
         self.placed.read();
