--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -14,6 +14,10 @@
 
 /// How long an answer may take beyond the time that the leader may hold it.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+/// How long a voter may take to accept a connection.
+const DIAL_LIMIT: Duration = Duration::from_millis(500);
+/// How long a voter that has failed is left alone, where there are others.
+const AVOID: Duration = Duration::from_millis(1_500);
 /// The pause after a question that brought no lease.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -22,6 +26,8 @@
     seeds: Vec<SocketAddr>,
     known: Vec<SocketAddr>,
     hint: Option<SocketAddr>,
+    /// The voter that failed last, and when.
+    failed: Option<(SocketAddr, Instant)>,
     link: Option<(SocketAddr, PeerClient)>,
     round: usize,
 }
@@ -29,22 +35,42 @@
 impl Voters {
     /// The next voter to ask: the one that is said to lead, else each in turn.
     fn next(&mut self) -> Option<SocketAddr> {
-        if let Some(hint) = self.hint.take() {
+        if let Some(hint) = self.hint.take().filter(|hint| !self.has_failed(*hint)) {
             return Some(hint);
         }
         let mut all = self.known.clone();
         all.extend(self.seeds.iter().filter(|seed| !self.known.contains(seed)));
+        if all.len() > 1 {
+            all.retain(|address| !self.has_failed(*address));
+        }
         self.round += 1;
         all.get(self.round % all.len().max(1)).copied()
     }
+
+    /// Whether a voter failed a moment ago. Others may still take it for the leader.
+    fn has_failed(&self, address: SocketAddr) -> bool {
+        self.failed.is_some_and(|(failed, at)| failed == address && at.elapsed() < AVOID)
+    }
+
+    /// The connection to a voter has failed.
+    fn fail(&mut self, address: SocketAddr) {
+        self.failed = Some((address, Instant::now()));
+        self.link = None;
+    }
 }
 
 /// Renews the lease for ever.
 pub async fn keep_lease(gateway: Arc<Gateway>, own: PeerIdentity) {
     let port = own.address.port();
     let seeds = gateway.settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
-    let mut voters =
-        Voters { seeds: seeds.collect(), known: Vec::new(), hint: None, link: None, round: 0 };
+    let mut voters = Voters {
+        seeds: seeds.collect(),
+        known: Vec::new(),
+        hint: None,
+        failed: None,
+        link: None,
+        round: 0,
+    };
     let mut held = false;
     loop {
         let renewed = renew(&gateway, &own, &mut voters).await;
@@ -60,12 +86,14 @@
     if voters.link.is_none() {
         let Some(address) = voters.next() else { return false };
         let secret = &gateway.settings.secret;
-        let Some((client, _)) = dial(address, secret, own, &gateway.journal).await else {
+        let dialed = dial(address, secret, own, &gateway.journal);
+        let Ok(Some((client, _))) = tokio::time::timeout(DIAL_LIMIT, dialed).await else {
+            voters.fail(address);
             return false;
         };
         voters.link = Some((address, client));
     }
-    let Some((_, client)) = &voters.link else { return false };
+    let Some((address, client)) = voters.link.clone() else { return false };
     let asked = since_start();
     let mut context = context::current();
     context.deadline = Instant::now() + gateway.settings.renew + ANSWER_LIMIT;
@@ -80,13 +108,13 @@
             }
             true
         }
-        Ok(LeaseAnswer::NotLeader { address, .. }) => {
-            let asked = voters.link.as_ref().map(|(address, _)| *address);
-            voters.hint = address.filter(|address| Some(*address) != asked);
+        Ok(LeaseAnswer::NotLeader { address: hint, .. }) => {
+            voters.hint = hint.filter(|hint| *hint != address);
             false
         }
         Err(error) => {
-            log::info!("a voter does not answer: {error}");
+            log::info!("voter {address} does not answer: {error}");
+            voters.fail(address);
             false
         }
     }
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -22,6 +22,11 @@
 /// A snapshot is put off while it would be more than this many times as large as the log.
 const SNAPSHOT_RATIO: usize = 4;
 
+/// The pause after a snapshot that could not be stored.
+const SNAPSHOT_PAUSE: Duration = Duration::from_secs(2);
+/// The pause before a write is repeated that a full disk refused.
+const WRITE_PAUSE: Duration = Duration::from_millis(100);
+
 /// A command that waits to be committed.
 struct Waiting {
     term: u64,
@@ -42,6 +47,8 @@
     snapshot_every: u64,
     led: Option<(u64, Duration)>,
     storing: Option<JoinHandle<Result<Snapshot, StorageError>>>,
+    /// No snapshot is begun before.
+    put_off: Option<Duration>,
 }
 
 impl Driver {
@@ -72,6 +79,7 @@
             snapshot_every: options.snapshot_every,
             led: None,
             storing: None,
+            put_off: None,
         }
     }
 
@@ -151,14 +159,13 @@
             self.await_snapshot();
             restore(&self.shared, snapshot);
             self.applied = snapshot.index;
-            let kept = self.store.as_mut().map(|store| store.compact(snapshot, &[]));
-            check(kept);
+            persist(self.store.as_mut(), |store| store.compact(snapshot, &[]));
         }
         if let Some(store) = &mut self.store {
             store.put_entries(&output.entries);
-            if writes {
-                check(Some(store.sync()));
-            }
+        }
+        if writes {
+            persist(self.store.as_mut(), GroupStore::sync);
         }
         if writes {
             self.core.persisted();
@@ -201,7 +208,8 @@
             return;
         }
         self.await_snapshot();
-        if !self.snapshot_due() {
+        let waits = self.put_off.is_some_and(|until| since_start() < until);
+        if waits || !self.snapshot_due() {
             return;
         }
         let data = self.shared.state.read().expect("state lock").snapshot();
@@ -229,7 +237,11 @@
         let Some(storing) = self.storing.take() else { return };
         match storing.join().expect("the snapshot's thread does not panic") {
             Ok(snapshot) => self.trim(snapshot),
-            Err(error) => check(Some(Err(error))),
+            Err(StorageError::NotWritten { path, cause }) => {
+                self.put_off = Some(since_start() + SNAPSHOT_PAUSE);
+                log::warn!("{}: no snapshot can be stored: {cause}", path.display());
+            }
+            Err(error) => fail(&error),
         }
     }
 
@@ -243,7 +255,7 @@
             true => log.range(snapshot.index + 1, last).to_vec(),
             false => Vec::new(),
         };
-        check(self.store.as_mut().map(|store| store.trim(&snapshot, &tail)));
+        persist(self.store.as_mut(), |store| store.trim(&snapshot, &tail));
         let (group, index) = (self.id.to_string(), snapshot.index);
         self.core.compact(snapshot);
         self.journal.record(Event::SnapshotTaken { group, index });
@@ -317,10 +329,34 @@
     state.restore(&snapshot.data).expect("a snapshot that passed its checksum can be read");
 }
 
-/// Ends the process on a storage error: what the disk holds is then unknown.
-fn check(result: Option<Result<(), StorageError>>) {
-    if let Some(Err(error)) = result {
-        log::error!("storage failed, the process ends: {error}");
-        std::process::abort();
+/// Does a write until it is done. A full disk is waited for: meanwhile this member is silent, so
+/// that others take over, and nothing that it has not stored is promised.
+fn persist<F>(store: Option<&mut GroupStore>, mut write: F)
+where
+    F: FnMut(&mut GroupStore) -> Result<(), StorageError>,
+{
+    let Some(store) = store else { return };
+    let mut refused = 0;
+    loop {
+        match write(store) {
+            Ok(()) => break,
+            Err(error @ StorageError::NotWritten { .. }) => {
+                if refused == 0 {
+                    log::error!("storage refuses writes, this member waits: {error}");
+                }
+                refused += 1;
+                std::thread::sleep(WRITE_PAUSE);
+            }
+            Err(error) => fail(&error),
+        }
+    }
+    if refused > 0 {
+        log::info!("storage takes writes again, after {refused} refusals");
     }
 }
+
+/// Ends the process: what the disk holds is unknown.
+fn fail(error: &StorageError) -> ! {
+    log::error!("storage failed, the process ends: {error}");
+    std::process::abort();
+}
--- a/src/storage/error.rs
+++ b/src/storage/error.rs
@@ -13,6 +13,15 @@
         /// What the operating system said.
         cause: io::Error,
     },
+    /// Nothing was written, as on a full disk; what was stored before is whole, and the same may be
+    /// written again.
+    #[error("{path}: nothing was written: {cause}; make room on the disk")]
+    NotWritten {
+        /// The file.
+        path: PathBuf,
+        /// What the operating system said.
+        cause: io::Error,
+    },
     /// A record before the tail is damaged.
     #[error(
         "{path}: damaged record at byte {offset}; move the data folder away, the VM then rejoins as a new member"
--- a/src/storage/folder.rs
+++ b/src/storage/folder.rs
@@ -72,15 +72,20 @@
 }
 
 /// Replaces a file so that after a crash either the old or the new contents stand, whole.
+///
+/// # Errors
+/// [`StorageError::NotWritten`] where the old file is untouched, any other I/O error behind that.
 pub fn write_synced(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
     let target = folder.join(name);
     let temporary = folder.join(format!("{name}.new"));
-    let tried = (|| {
+    let written = (|| {
         let mut file = File::create(&temporary)?;
         file.write_all(bytes)?;
-        file.sync_all()?;
-        fs::rename(&temporary, &target)?;
-        File::open(folder)?.sync_all()
+        file.sync_all()
     })();
+    if let Err(cause) = written {
+        return Err(StorageError::NotWritten { path: target, cause });
+    }
+    let tried = fs::rename(&temporary, &target).and_then(|()| File::open(folder)?.sync_all());
     tried.map_err(|cause| StorageError::io(&target, cause))
 }
--- a/src/storage/group_store.rs
+++ b/src/storage/group_store.rs
@@ -27,6 +27,8 @@
     folder: PathBuf,
     media: Box<dyn Media>,
     batch: Vec<u8>,
+    /// Bytes of the log that are synced.
+    end: u64,
     hard: HardState,
     failed: bool,
 }
@@ -48,12 +50,13 @@
         };
         let replayed = Replayed::read(&path, &bytes)?;
         let media = Box::new(open_log(&path, replayed.end)?);
+        let end = replayed.end as u64;
         let start = replayed.start();
         let recovered = replayed.fit(&folder.join(SNAPSHOT_FILE), snapshot)?;
         sync_folder(folder)?;
         let hard = recovered.hard;
         let folder = folder.to_path_buf();
-        let mut store = Self { folder, media, batch: Vec::new(), hard, failed: false };
+        let mut store = Self { folder, media, batch: Vec::new(), end, hard, failed: false };
         let cut_short = recovered.snapshot.as_ref().filter(|snapshot| snapshot.index != start);
         if let Some(snapshot) = cut_short {
             store.trim(snapshot, &recovered.entries)?;
@@ -82,8 +85,9 @@
     /// Writes the batch as one frame and syncs it.
     ///
     /// # Errors
-    /// Any I/O error, and every later call after one: the caller must end the process, as what the
-    /// file holds is unknown.
+    /// [`StorageError::NotWritten`] where nothing was written and the call may be repeated. Any other
+    /// I/O error, and every later call after one: the caller must end the process, as what the file
+    /// holds is unknown.
     pub fn sync(&mut self) -> Result<(), StorageError> {
         let path = self.folder.join(LOG_FILE);
         if self.failed {
@@ -94,9 +98,17 @@
         }
         let mut framed = Vec::with_capacity(self.batch.len() + frame::HEADER_BYTES);
         frame::write(&mut framed, &self.batch);
+        if let Err(cause) = self.media.append(&framed) {
+            self.failed = self.media.cut(self.end).is_err();
+            return Err(match self.failed {
+                true => StorageError::io(path, cause),
+                false => StorageError::NotWritten { path, cause },
+            });
+        }
         self.batch.clear();
-        let tried = self.media.append(&framed).and_then(|()| self.media.sync());
+        let tried = self.media.sync();
         self.failed = tried.is_err();
+        self.end += framed.len() as u64;
         tried.map_err(|cause| StorageError::io(path, cause))
     }
 
@@ -108,7 +120,7 @@
     /// Rewrites the log to start behind a snapshot that is stored already.
     ///
     /// # Errors
-    /// Any I/O error; the old log stays whole.
+    /// Any I/O error; the old log stays whole, and after [`StorageError::NotWritten`] in use.
     pub fn trim(&mut self, snapshot: &Snapshot, tail: &[Entry]) -> Result<(), StorageError> {
         self.sync()?;
         let Snapshot { index, term, .. } = *snapshot;
@@ -120,6 +132,7 @@
         let framed = framed(&batch);
         write_synced(&self.folder, LOG_FILE, &framed)?;
         self.media = Box::new(open_log(&self.folder.join(LOG_FILE), framed.len())?);
+        self.end = framed.len() as u64;
         Ok(())
     }
 
--- a/src/storage/media.rs
+++ b/src/storage/media.rs
@@ -1,6 +1,6 @@
 use std::fmt::Debug;
 use std::fs::File;
-use std::io::{self, Write};
+use std::io::{self, Seek, SeekFrom, Write};
 
 /// Where a log's bytes go.
 pub trait Media: Debug + Send {
@@ -15,6 +15,16 @@
     /// # Errors
     /// What the operating system reports; what was appended is then in an unknown state.
     fn sync(&mut self) -> io::Result<()>;
+
+    /// Takes back what was appended beyond the first `len` bytes and not synced, so that it can be
+    /// appended again.
+    ///
+    /// # Errors
+    /// Where that is not possible; what was appended is then in an unknown state.
+    fn cut(&mut self, len: u64) -> io::Result<()> {
+        let text = format!("cannot be cut to {len} bytes");
+        Err(io::Error::new(io::ErrorKind::Unsupported, text))
+    }
 }
 
 impl Media for File {
@@ -25,4 +35,9 @@
     fn sync(&mut self) -> io::Result<()> {
         self.sync_data()
     }
+
+    fn cut(&mut self, len: u64) -> io::Result<()> {
+        self.set_len(len)?;
+        self.seek(SeekFrom::Start(len)).map(|_| ())
+    }
 }
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -290,6 +290,49 @@
     assert_eq!(recovered.entries[..2], entries(1, 2, 1), "what was synced stays");
 }
 
+/// A disk that is full for its first writes, which leave some of their bytes behind.
+#[derive(Debug)]
+struct Full {
+    file: fs::File,
+    refusals: u32,
+}
+
+impl Media for Full {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.refusals == 0 {
+            return self.file.append(bytes);
+        }
+        self.refusals -= 1;
+        self.file.append(&bytes[..bytes.len() / 2])?;
+        Err(io::ErrorKind::StorageFull.into())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file.sync()
+    }
+
+    fn cut(&mut self, len: u64) -> io::Result<()> {
+        self.file.cut(len)
+    }
+}
+
+#[test]
+fn a_write_that_a_full_disk_refused_is_done_when_there_is_room() {
+    let folder = Folder::open();
+    let (mut store, _) = folder.store().unwrap();
+    put(&mut store, &entries(1, 2, 1));
+    let opened = fs::OpenOptions::new().append(true).open(folder.file("log"));
+    store.redirect(Box::new(Full { file: opened.unwrap(), refusals: 2 }));
+    store.put_entries(&entries(3, 4, 1));
+    for _ in 0..2 {
+        assert!(matches!(store.sync().unwrap_err(), StorageError::NotWritten { .. }));
+    }
+    store.sync().unwrap();
+    put(&mut store, &entries(5, 6, 1));
+    drop(store);
+    assert_eq!(folder.store().unwrap().1.entries, entries(1, 6, 1));
+}
+
 #[test]
 fn writes_that_were_never_synced_are_not_recovered() {
     let folder = Folder::open();
