Bound a bad version's exposure by the schedule, compare times by route and model

The ramp let a version that turns bad late have 0.3 of all calls; time was lost at each commit (10 in 100), so that good roll-outs ended after their limit.

--- a/src/daemon/pool_rollouts.rs
+++ b/src/daemon/pool_rollouts.rs
@@ -3,11 +3,12 @@
 use super::Node;
 use crate::control::{ControlCommand, ControlOutcome, PoolRollout, PoolRolloutStatus};
 use crate::event::Event;
+use crate::group::since_start;
 use crate::name::PoolName;
 use crate::policy::{blame, next_shift};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How often roll-outs are looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -18,19 +19,21 @@
 struct Followed {
     term: u64,
     state: PoolRollout,
-    since: Instant,
+    /// When it would have begun had this leader led from the beginning.
+    begun: Duration,
+    /// When it was committed last.
+    kept: Duration,
 }
 
 impl Followed {
     fn elapsed(&self) -> Duration {
-        self.state.elapsed + self.since.elapsed()
+        since_start().saturating_sub(self.begun)
     }
 }
 
 /// Does the duty for ever, while this daemon leads.
 pub async fn keep_pool_rollouts(node: Arc<Node>) {
     let mut followed: BTreeMap<PoolName, Followed> = BTreeMap::new();
-    let mut shared: BTreeMap<PoolName, (u32, Instant)> = BTreeMap::new();
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         let control = node.cluster.control();
@@ -42,28 +45,31 @@
         let config = node.control(|state| state.config().clone());
         let running = |rollout: &&PoolRollout| rollout.status == PoolRolloutStatus::Running;
         for rollout in config.shifts.values().filter(running) {
-            let fresh =
-                || Followed { term: status.term, state: rollout.clone(), since: Instant::now() };
+            let now = since_start();
+            let begun = now.saturating_sub(rollout.elapsed);
+            let fresh = || Followed { term: status.term, state: rollout.clone(), begun, kept: now };
             let known = followed.entry(rollout.pool.clone()).or_insert_with(fresh);
-            if known.term != status.term || known.state != *rollout {
+            if known.term != status.term || known.state.target != rollout.target {
                 *known = fresh();
             }
-            let held =
-                shared.entry(rollout.pool.clone()).or_insert((rollout.share, Instant::now()));
-            if held.0 != rollout.share {
-                *held = (rollout.share, Instant::now());
+            if known.state != *rollout {
+                known.state = rollout.clone();
+                known.kept = now;
             }
-            look_after(&node, known, held.1.elapsed()).await;
+            look_after(&node, known).await;
         }
     }
 }
 
-async fn look_after(node: &Node, known: &Followed, held: Duration) {
+async fn look_after(node: &Node, known: &Followed) {
     let (before, elapsed) = (&known.state, known.elapsed());
     let tallies = node.pools.tallies();
-    let after = match next_shift(before, &tallies, elapsed, held) {
+    let exposure = node.settings.promises.exposure;
+    let after = match next_shift(before, &tallies, elapsed, exposure) {
         Some(after) => after,
-        None if known.since.elapsed() >= KEEP_EVERY => PoolRollout { elapsed, ..before.clone() },
+        None if since_start() >= known.kept + KEEP_EVERY => {
+            PoolRollout { elapsed, ..before.clone() }
+        }
         None => return,
     };
     let (rollout, share, status) = (before.pool.to_string(), after.share, after.status);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,13 +4,11 @@
 use super::{Compiled, Gateway};
 use crate::control::{ConfiguredRoute, PoolRollout, PoolRolloutStatus};
 use crate::name::{PoolName, VersionName, VmName};
-use crate::policy::ServerView;
+use crate::policy::{ServerView, is_trial};
 use rand::Rng;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-/// Shares up to this one, in thousandths, are trials: sessions do not change over yet.
-const TRIAL: u32 = 60;
 /// Servers that are a prompt's home, by the rank of their hashes (rendezvous hashing), so that all
 /// routers look for it at the same ones.
 const HOMES: usize = 2;
@@ -153,7 +151,7 @@
     let drawn = hash_of(&(wanted.hash, "roll-out")) % 1_000 < u64::from(shift.share);
     match wanted.pinned {
         Some(version) if version.as_ref() == Some(&shift.target) => true,
-        Some(_) if shift.share <= TRIAL => false,
+        Some(_) if is_trial(shift) => false,
         _ => drawn,
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -57,6 +57,9 @@
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let whole = self.events.take(&data)?;
+                    if let Some(event) = self.events.last {
+                        exchange.counted.reached(event);
+                    }
                     if !whole.is_empty() {
                         return Ok(Some(whole));
                     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -90,7 +90,7 @@
 /// Tells the balancer to look away, serves on until it has, and ends when all answers are out.
 async fn stop(gateway: &Gateway, callers: &Callers, close: &watch::Sender<bool>) {
     let begun = Instant::now();
-    let limit = gateway.settings.bounds.stop;
+    let limit = gateway.settings.promises.stop;
     gateway.journal.record(Event::DaemonStopping);
     gateway.stopping.store(true, Ordering::Relaxed);
     tokio::time::sleep(limit.mul_f64(OPEN_PART)).await;
--- a/src/gateway/sent.rs
+++ b/src/gateway/sent.rs
@@ -42,20 +42,15 @@
     pub placed: Placed,
     /// Its place among the counts of versions.
     pub counted: Counted,
-    /// The time to the answer that was expected, in ms.
-    pub expected: f64,
-    /// When it was sent.
-    pub sent: Instant,
     lent: Lent,
 }
 
 impl Exchange {
     /// The whole answer has come: the connection may carry another call.
     pub fn finish(mut self) {
-        let ratio = self.ratio();
         self.counted.end(match self.response.status().is_server_error() {
             true => Ending::Bad,
-            false => Ending::Good(ratio.ln()),
+            false => Ending::Good,
         });
         let idle = self.head.idle.map(|idle| idle.saturating_sub(IDLE_MARGIN));
         self.lent.give_back_for(idle.unwrap_or(IDLE_DEFAULT));
@@ -64,21 +59,14 @@
     /// The answer is not wanted: its run is given up, and the server hears of it at once.
     pub fn set_aside(mut self: Box<Self>) {
         self.begun();
-        let ratio = self.ratio();
-        self.counted.end(Ending::Good(ratio.ln()));
+        self.counted.end(Ending::Good);
     }
 
     /// The answer, or its first event, has come.
     pub fn begun(&mut self) {
         self.placed.read();
-        let millis = self.sent.elapsed().as_secs_f64() * 1e3;
-        self.expected = millis.max(1.0) / self.expected.max(1.0);
-        self.placed.server.answered(self.expected);
-    }
-
-    /// How much longer than expected the answer took, once it has begun.
-    fn ratio(&self) -> f64 {
-        self.expected.clamp(0.05, 100.0)
+        let ratio = self.counted.answered();
+        self.placed.server.answered(ratio);
     }
 }
 
@@ -88,7 +76,13 @@
         let Place { server, unread, expected } = place;
         let placed = server.begin(&self.parts, unread);
         let version = server.vm.version.as_ref();
-        let mut counted = self.gateway.tallies.begin(&self.pool, version, &self.route.name);
+        let mut counted = self.gateway.tallies.begin(
+            &self.pool,
+            version,
+            &self.route.name,
+            self.model.as_ref(),
+            expected,
+        );
         let fresh = !self.route.kind.may_repeat();
         let mut lent = match self.gateway.connections.take(server.vm.address, fresh).await {
             Ok(lent) => lent,
@@ -101,7 +95,6 @@
         let (lease, pool) = (self.gateway.lease.clone(), self.pool.clone());
         lent.guard(RoutePermit::open(lease, place, pool, self.key.clone()));
         let request = self.request(&server.vm.vm, event);
-        let sent = Instant::now();
         let answer = tokio::time::timeout(patience, lent.send_unchanged(request)).await;
         let response = match answer {
             Ok(Ok(response)) => response,
@@ -136,7 +129,7 @@
             server.failed();
             counted.end(Ending::Bad);
         }
-        Sent::Answered(Box::new(Exchange { response, head, placed, counted, expected, sent, lent }))
+        Sent::Answered(Box::new(Exchange { response, head, placed, counted, lent }))
     }
 
     fn request(&self, server: &crate::name::VmName, event: Option<u64>) -> Request<Full<Bytes>> {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -54,7 +54,7 @@
             lease: Arc::default(),
             connections: Connections::open(CONNECT_LIMIT),
             servers: ServerTable::default(),
-            sessions: Sessions::open(settings.bounds.session * 2),
+            sessions: Sessions::open(settings.promises.session * 2),
             tallies: Arc::default(),
             closed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -102,11 +102,11 @@
     where
         F: FnOnce(&mut RepeatBudget) -> T,
     {
-        let bounds = &self.settings.bounds;
+        let promises = &self.settings.promises;
         let routers = self.routers.load(Ordering::Relaxed).max(1);
-        let allowance = f64::from(bounds.extra) / f64::from(routers);
+        let allowance = f64::from(promises.extra) / f64::from(routers);
         let mut budgets = self.budgets.lock().expect("budget lock");
-        let fresh = || RepeatBudget::open(bounds.window, bounds.repeats, allowance);
+        let fresh = || RepeatBudget::open(promises.window, promises.repeats, allowance);
         let budget = budgets.entry(pool.clone()).or_insert_with(fresh);
         budget.share(allowance);
         work(budget)
--- a/src/policy/pool_shift.rs
+++ b/src/policy/pool_shift.rs
@@ -1,23 +1,20 @@
 //! When a pool's roll-out moves on, and when its target is held to be bad.
 
-use super::Tally;
+use super::{LogMean, Tally};
 use crate::control::{PoolRollout, PoolRolloutStatus};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// The target's share while evidence is gathered, in thousandths.
-const CANARY: u32 = 60;
-/// The part of the limit after which the target takes more; sessions may change over then.
-const RAMP_AT: f64 = 0.52;
-/// Shares of the ramp, in thousandths, with the time for which each is held.
-const RAMP: [(u32, Duration); 3] = [
-    (250, Duration::from_millis(1_200)),
-    (500, Duration::from_millis(1_200)),
-    (1_000, Duration::from_millis(1_500)),
-];
-/// A roll-out whose target takes everything is completed this long before its limit, even though
-/// calls of the old version are still running.
-const MARGIN: Duration = Duration::from_millis(1_500);
+/// The target's shares, as parts of the exposure that a bad version may have, each from a part of
+/// the limit on. Together they stay under that exposure even if nothing is noticed, and load on the
+/// target rises in steps, as a version may be bad under load only.
+const STEPS: [(f64, f64); 4] = [(0.0, 0.4), (0.5, 0.5), (0.75, 1.0), (0.85, 2.0)];
+/// The part of the limit after which the target takes everything.
+const TAKES_ALL: f64 = 0.93;
+/// The part of the limit after which the roll-out is completed.
+const COMPLETED: f64 = 0.96;
+/// All calls, in thousandths.
+const ALL: u32 = 1_000;
 /// Failures, as a part of the old version's, that a good target may have.
 const FAILED_RATIO: f64 = 1.5;
 /// Failures, as a part of all calls, that no target is blamed for.
@@ -26,26 +23,26 @@
 const DEVIATIONS: f64 = 2.5;
 /// Failures beyond that; a single one proves nothing.
 const FAILED_LEAST: f64 = 1.5;
-/// The logarithm of how much longer than the old version's a good target's answers may take.
-const SLOW_LOG: f64 = 0.9;
-/// Answers before their times are compared.
-const SLOW_LEAST: u64 = 12;
+/// How many times as long as the old version's a good target's answers may take.
+const SLOW_RATIO: f64 = 2.0;
+/// The standard deviation of a single time's logarithm, within a route and model.
+const SLOW_SPREAD: f64 = 0.7;
+/// Standard deviations between a slow target and a good one's expected times.
+const SLOW_DEVIATIONS: f64 = 3.5;
+/// Answers of either side before times are compared.
+const SLOW_LEAST: f64 = 3.0;
 
 /// What is known of a version, on one route or on all.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct Sum {
     good: u64,
     bad: u64,
-    slowness: f64,
-    running: u64,
 }
 
 impl Sum {
     fn add(&mut self, tally: &Tally) {
         self.good += tally.good;
         self.bad += tally.bad;
-        self.slowness += tally.slowness;
-        self.running += tally.running;
     }
 
     fn seen(&self) -> f64 {
@@ -55,10 +52,6 @@
     fn failed(&self) -> f64 {
         self.bad as f64 / self.seen().max(1.0)
     }
-
-    fn mean_slowness(&self) -> f64 {
-        self.slowness / self.good.max(1) as f64
-    }
 }
 
 /// The target and what it replaces.
@@ -90,12 +83,35 @@
         let spread = (seen * chance * (1.0 - chance)).sqrt();
         self.new.bad as f64 > seen * chance + DEVIATIONS * spread + FAILED_LEAST
     }
+}
 
-    /// Whether the target's answers take clearly longer.
-    fn is_slow(&self) -> bool {
-        let enough = self.new.good >= SLOW_LEAST && self.old.good >= SLOW_LEAST;
-        enough && self.new.mean_slowness() > self.old.mean_slowness() + SLOW_LOG
+/// How many times longer the target's answers take, by what `time` takes of a tally, where that is
+/// clearly more. Routes and models are compared each with itself, as their times differ, and the
+/// differences are weighed by what they are known from (a stratified comparison).
+fn slower<F>(rollout: &PoolRollout, tallies: &[&Tally], time: F) -> Option<f64>
+where
+    F: Fn(&Tally) -> LogMean,
+{
+    let mut strata: BTreeMap<_, (LogMean, LogMean)> = BTreeMap::new();
+    for tally in tallies.iter().filter(|tally| tally.pool == rollout.pool) {
+        let pair = strata.entry((&tally.route, &tally.model)).or_default();
+        match tally.version.as_ref() == Some(&rollout.target) {
+            true => pair.1.add(time(tally)),
+            false => pair.0.add(time(tally)),
+        }
     }
+    let (mut sum, mut weight) = (0.0, 0.0);
+    for (old, new) in strata.values().filter(|(old, new)| old.count > 0 && new.count > 0) {
+        let part = 1.0 / (1.0 / old.count as f64 + 1.0 / new.count as f64);
+        sum += part * (new.value() / old.value()).ln();
+        weight += part;
+    }
+    if weight < SLOW_LEAST {
+        return None;
+    }
+    let mean = sum / weight;
+    let clear = mean * weight.sqrt() > SLOW_DEVIATIONS * SLOW_SPREAD;
+    (clear && mean > SLOW_RATIO.ln()).then(|| mean.exp())
 }
 
 /// Why the target of a roll-out is held to be bad; `None` while it is not. It is judged on each
@@ -103,26 +119,31 @@
 pub fn blame(rollout: &PoolRollout, tallies: &[Tally]) -> Option<String> {
     let routes: BTreeSet<&str> = tallies.iter().map(|tally| tally.route.as_str()).collect();
     let on = |route: &&str| {
-        let pair = Pair::of(rollout, tallies.iter().filter(|tally| tally.route == **route));
-        judge(&pair).map(|why| format!("route {route}: {why}"))
+        let part: Vec<&Tally> = tallies.iter().filter(|tally| tally.route == **route).collect();
+        judge(rollout, &part).map(|why| format!("route {route}: {why}"))
     };
-    let whole = || judge(&Pair::of(rollout, tallies.iter()));
+    let whole = || judge(rollout, &tallies.iter().collect::<Vec<_>>());
     routes.iter().find_map(on).or_else(whole)
 }
 
-fn judge(pair: &Pair) -> Option<String> {
-    let Pair { old, new } = pair;
+fn judge(rollout: &PoolRollout, tallies: &[&Tally]) -> Option<String> {
+    let pair = Pair::of(rollout, tallies.iter().copied());
     if pair.fails() {
-        let (bad, seen) = (new.bad, new.good + new.bad);
-        return Some(format!("{bad} of {seen} failed, against {:.3} before", old.failed()));
+        let (bad, seen) = (pair.new.bad, pair.new.good + pair.new.bad);
+        return Some(format!("{bad} of {seen} failed, against {:.3} before", pair.old.failed()));
     }
-    let (before, after) = (old.mean_slowness().exp(), new.mean_slowness().exp());
-    pair.is_slow()
-        .then(|| format!("answers take {after:.1} of what is expected, {before:.1} before"))
+    let first = slower(rollout, tallies, |tally| tally.first);
+    let ratio = first.or_else(|| slower(rollout, tallies, |tally| tally.pace));
+    ratio.map(|ratio| format!("answers take {ratio:.1} times as long as before"))
+}
+
+/// Whether sessions stay on the version that they were served by: the target is on trial.
+pub fn is_trial(rollout: &PoolRollout) -> bool {
+    rollout.elapsed * 2 < rollout.limit
 }
 
-/// The next state of a roll-out; `None` where it stays as it is. `held` tells for how long it has
-/// had its share.
+/// The next state of a roll-out; `None` where it stays as it is. `exposure` is the part of the
+/// pool's calls that a bad version may get.
 ///
 /// ```
 /// use samphireshift::control::PoolRollout;
@@ -131,14 +152,14 @@
 /// use std::time::Duration;
 /// let limit = Duration::from_secs(20);
 /// let rollout = PoolRollout::open(PoolName::new("p"), VersionName::new("v2"), limit);
-/// let next = next_shift(&rollout, &[], Duration::ZERO, Duration::ZERO).unwrap();
-/// assert!(next.share > 0 && next.share < 150);
+/// let next = next_shift(&rollout, &[], Duration::ZERO, 0.1).unwrap();
+/// assert_eq!(next.share, 40);
 /// ```
 pub fn next_shift(
     rollout: &PoolRollout,
     tallies: &[Tally],
     elapsed: Duration,
-    held: Duration,
+    exposure: f64,
 ) -> Option<PoolRollout> {
     if rollout.status != PoolRolloutStatus::Running {
         return None;
@@ -147,22 +168,20 @@
     if blame(rollout, tallies).is_some() {
         return next(0, PoolRolloutStatus::RolledBack);
     }
-    if rollout.share < CANARY {
-        return next(CANARY, PoolRolloutStatus::Running);
-    }
-    if elapsed < rollout.limit.mul_f64(RAMP_AT) {
-        return None;
-    }
-    let Some(step) = RAMP.iter().position(|(share, _)| *share == rollout.share) else {
-        return next(RAMP[0].0, PoolRolloutStatus::Running);
-    };
-    if held < RAMP[step].1 {
-        return None;
+    let passed = elapsed.as_secs_f64() / rollout.limit.as_secs_f64();
+    if passed >= COMPLETED && rollout.share == ALL {
+        return next(ALL, PoolRolloutStatus::Completed);
     }
-    if let Some((share, _)) = RAMP.get(step + 1) {
-        return next(*share, PoolRolloutStatus::Running);
+    let share = share_at(passed, exposure);
+    (share > rollout.share).then(|| next(share, PoolRolloutStatus::Running)).flatten()
+}
+
+/// The target's share after a part of the limit, in thousandths.
+fn share_at(passed: f64, exposure: f64) -> u32 {
+    if passed >= TAKES_ALL {
+        return ALL;
     }
-    let idle = Pair::of(rollout, tallies.iter()).old.running == 0;
-    let late = elapsed + MARGIN >= rollout.limit;
-    (idle || late).then(|| next(1_000, PoolRolloutStatus::Completed)).flatten()
+    let step = STEPS.iter().rev().find(|(from, _)| passed >= *from);
+    let part = step.map_or(0.0, |(_, part)| part * exposure);
+    ((part * f64::from(ALL)).round() as u32).min(ALL)
 }
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -5,7 +5,7 @@
 /// The most that can be saved up, in thousandths of a retry.
 const SAVINGS: u64 = 20_000;
 
-/// Bounds retries and hedges to a share of an organisation's first attempts, so that a failing pool
+/// Promises retries and hedges to a share of an organisation's first attempts, so that a failing pool
 /// is not pushed over by them.
 ///
 /// ```
--- a/src/policy/tally.rs
+++ b/src/policy/tally.rs
@@ -1,4 +1,5 @@
-use crate::name::{PoolName, VersionName};
+use super::LogMean;
+use crate::name::{ModelName, PoolName, VersionName};
 use serde::{Deserialize, Serialize};
 
 /// What one router saw of one version of a pool on one route, since its process started.
@@ -10,12 +11,16 @@
     pub version: Option<VersionName>,
     /// The route.
     pub route: String,
+    /// The model that was asked; `None` where the router did not choose it.
+    pub model: Option<ModelName>,
     /// Calls that ended well.
     pub good: u64,
     /// Calls that the server failed or broke off.
     pub bad: u64,
-    /// The sum of the logarithms of how much longer answers took than expected.
-    pub slowness: f64,
+    /// How much longer than expected answers took to begin, at least.
+    pub first: LogMean,
+    /// The time between two events of an answer, in ms.
+    pub pace: LogMean,
     /// Calls that are running now.
     pub running: u64,
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,15 +1,15 @@
 //! The daemon's settings: an INI file read once at start and checked as a whole.
 
-mod bounds;
 mod issue;
 mod key;
+mod promises;
 mod reader;
 mod role;
 mod unit;
 
-pub use bounds::Bounds;
 pub use issue::{SettingsErrors, SettingsIssue};
 pub use key::KeySpec;
+pub use promises::Promises;
 pub use role::Role;
 pub use unit::{parse_duration, parse_size};
 
@@ -61,7 +61,7 @@
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
     /// What a fleet of routers and voters promises.
-    pub bounds: Bounds,
+    pub promises: Promises,
     /// The number of voters to aim for.
     pub voters: usize,
     /// The number of ledger groups, fixed at founding.
@@ -154,7 +154,7 @@
     fn read(r: &mut Reader) -> Self {
         let role = r.role("vm", "role");
         let (routes, votes) = (role != Role::Voter, role != Role::Router);
-        let bounds = Self::read_bounds(r);
+        let promises = Self::read_promises(r);
         let lease = r.duration("lease", "duration", "2500ms", "500ms", "3s");
         let voters = r.number("cluster", "voters", 3, 1, 9) as usize;
         let losses = r.number("cluster", "losses", 0, 0, 4) as usize;
@@ -172,7 +172,7 @@
             first_start: r.truth("cluster", "first_start"),
             ready: r.optional_address("listen", "ready"),
             metrics: r.optional_address("listen", "metrics"),
-            bounds,
+            promises,
             voters: if losses > 0 { 2 * losses + 1 } else { voters },
             ledger_groups: r.number("cluster", "ledger_groups", 1, 1, 64) as u16,
             token: r.secret_if(role == Role::All, "operators", "token"),
@@ -181,7 +181,7 @@
                 claims: r.duration("ledger", "keep_claims", "72h", "1s", "8760h"),
                 bills: r.duration("ledger", "keep_bills", "24h", "1s", "8760h"),
             },
-            lease: if role == Role::All { lease } else { bounds.lease() },
+            lease: if role == Role::All { lease } else { promises.lease() },
             renew: r.duration("lease", "renew", "250ms", "20ms", "1s"),
             election: r.duration("consensus", "election", "600ms", "100ms", "10s"),
             heartbeat: r.duration("consensus", "heartbeat", "100ms", "10ms", "2s"),
@@ -207,8 +207,8 @@
         }
     }
 
-    fn read_bounds(r: &mut Reader) -> Bounds {
-        Bounds {
+    fn read_promises(r: &mut Reader) -> Promises {
+        Promises {
             revoke: r.duration("promises", "revoke", "3s", "1s", "1m"),
             stop: r.duration("promises", "stop", "30s", "1s", "10m"),
             session: r.duration("promises", "session", "1m", "100ms", "24h"),
--- a/src/settings/bounds.rs
+++ b/src/settings/promises.rs
@@ -5,7 +5,7 @@
 
 /// What a fleet of routers and voters promises its callers and operators.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Bounds {
+pub struct Promises {
     /// How long after a key's withdrawal a call with it may still run.
     pub revoke: Duration,
     /// The time from the order to stop a daemon to its end by force.
@@ -22,7 +22,7 @@
     pub exposure: f64,
 }
 
-impl Bounds {
+impl Promises {
     /// How long a router may work after asking for its lease: a key's withdrawal is in force at
     /// routers that are out of touch as soon as their leases have run out.
     pub fn lease(&self) -> Duration {
