--- a/src/daemon/pool_rollouts.rs
+++ b/src/daemon/pool_rollouts.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// How often roll-outs are looked at.
-const LOOK_EVERY: Duration = Duration::from_millis(200);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How often the time that has passed is committed, for a leader that comes after.
 const KEEP_EVERY: Duration = Duration::from_secs(3);
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -176,28 +176,33 @@
     }
 }
 
-/// Tries servers until one answers.
+/// Tries servers until one answers. A server's own failure stands where no other answer can be had.
 async fn attempt(call: &Arc<Call>, tried: &mut Tried) -> Result<Response<ReplyBody>, Refused> {
     let mut call = call.clone();
+    let mut failure = None;
     loop {
         let mut exchange = match call.next(tried, None).await {
             Ok(exchange) => exchange,
-            Err(refused) => return Err(refused),
+            Err(refused) => return failure.ok_or(refused),
         };
-        let failed = exchange.response.status().is_server_error();
-        if failed && call.may_go_on(tried) {
-            drain(exchange).await;
+        if exchange.response.status().is_server_error() {
+            match collect(exchange).await {
+                Ok(response) if call.may_go_on_after_run(tried) => failure = Some(response),
+                Ok(response) => return Ok(response),
+                Err(cause) => log::info!("call {}: {cause}", call.name()),
+            }
+            tried.lost = Some("the server failed it".to_owned());
             continue;
         }
         if let Some(larger) = call.escalation(&exchange, tried) {
             exchange.set_aside();
             tried.servers.clear();
             tried.paid = true;
+            tried.lost = Some("the model was not sure".to_owned());
             call = Arc::new(larger);
             continue;
         }
-        let stream = call.route.kind.is_stream() && exchange.response.status().is_success();
-        if stream {
+        if call.route.kind.is_stream() && exchange.response.status().is_success() {
             match Relay::open(call.clone(), exchange).await {
                 Ok(opened) => return Ok(relay(opened, std::mem::take(tried))),
                 Err(cause) => {
@@ -214,14 +219,6 @@
     }
 }
 
-/// Reads an answer that is not passed on, so that its connection can be used again.
-async fn drain(mut exchange: Box<Exchange>) {
-    let body = Limited::new(exchange.response.body_mut(), ANSWER_BYTES).collect().await;
-    if body.is_ok() {
-        exchange.finish();
-    }
-}
-
 /// Takes in a whole answer before any of it goes out: a truncated one can then be asked for again.
 async fn collect(mut exchange: Box<Exchange>) -> Result<Response<ReplyBody>, String> {
     let read = Limited::new(exchange.response.body_mut(), ANSWER_BYTES).collect().await;
@@ -306,7 +303,7 @@
     fn escalation(&self, exchange: &Exchange, tried: &Tried) -> Option<Self> {
         let (model, confidence) = (self.model.as_ref()?, exchange.head.confidence?);
         let largest = self.route.models.last().filter(|largest| *largest != model)?;
-        let keep = confidence >= SURE || !self.may_go_on(tried);
+        let keep = confidence >= SURE || !self.may_go_on_after_run(tried);
         log::info!("call {}: {model} is {confidence} sure, kept: {keep}", self.name());
         if keep || !self.gateway.may_repeat(&self.pool) {
             return None;
@@ -326,6 +323,11 @@
         again && tried.sends < self.route.attempts && Instant::now() < self.until
     }
 
+    /// Whether another server may be asked although one has run the call.
+    fn may_go_on_after_run(&self, tried: &Tried) -> bool {
+        self.route.kind.may_repeat() && self.may_go_on(tried)
+    }
+
     fn give_up(&self, tried: &Tried) -> Refused {
         match &tried.lost {
             Some(cause) => Refused::Broken(cause.clone()),
--- a/src/policy/pool_shift.rs
+++ b/src/policy/pool_shift.rs
@@ -8,11 +8,12 @@
 /// The target's shares, as parts of the exposure that a bad version may have, each from a part of
 /// the limit on. Together they stay under that exposure even if nothing is noticed, and load on the
 /// target rises in steps, as a version may be bad under load only.
-const STEPS: [(f64, f64); 4] = [(0.0, 0.4), (0.5, 0.5), (0.75, 1.0), (0.85, 2.0)];
-/// The part of the limit after which the target takes everything.
-const TAKES_ALL: f64 = 0.93;
-/// The part of the limit after which the roll-out is completed.
-const COMPLETED: f64 = 0.96;
+const STEPS: [(f64, f64); 4] = [(0.0, 0.4), (0.5, 0.5), (0.75, 1.0), (0.85, 1.5)];
+/// The part of the exposure that is kept for the end of the limit, when the target takes
+/// everything.
+const LAST: f64 = 0.35;
+/// The part of that end which is left when the roll-out is completed.
+const LEFT: f64 = 0.6;
 /// All calls, in thousandths.
 const ALL: u32 = 1_000;
 /// Failures, as a part of the old version's, that a good target may have.
@@ -169,7 +170,7 @@
         return next(0, PoolRolloutStatus::RolledBack);
     }
     let passed = elapsed.as_secs_f64() / rollout.limit.as_secs_f64();
-    if passed >= COMPLETED && rollout.share == ALL {
+    if passed >= 1.0 - LAST * exposure * LEFT && rollout.share == ALL {
         return next(ALL, PoolRolloutStatus::Completed);
     }
     let share = share_at(passed, exposure);
@@ -178,7 +179,7 @@
 
 /// The target's share after a part of the limit, in thousandths.
 fn share_at(passed: f64, exposure: f64) -> u32 {
-    if passed >= TAKES_ALL {
+    if passed >= 1.0 - LAST * exposure {
         return ALL;
     }
     let step = STEPS.iter().rev().find(|(from, _)| passed >= *from);
--- a/tests/env/fleet.rs
+++ b/tests/env/fleet.rs
@@ -4,7 +4,7 @@
 use super::plan::Plan;
 use super::process::{Process, programs};
 use super::proxy::{Fault, Proxy};
-use super::setup::{free_ports, ini, own_address, spawn_daemon};
+use super::setup::{HeldPorts, ini, own_address, spawn_daemon};
 use serde_json::{Value, json};
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -15,6 +15,8 @@
 const TOKEN: &str = "operator-token";
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// Lines of a daemon's log that a failed test shows.
+const LOG_LINES: usize = 30;
 
 /// A daemon's process and its ports.
 #[derive(Debug)]
@@ -49,6 +51,7 @@
     pub links: Vec<(usize, usize, Proxy)>,
     dir: PathBuf,
     others: Vec<Process>,
+    held: Option<HeldPorts>,
 }
 
 impl Fleet {
@@ -73,7 +76,7 @@
         let (vms_process, vms) = Process::fake("vms", &[]);
         let others = vec![rating_process, vms_process];
         let (daemons, servers, links) = (Vec::new(), Vec::new(), Vec::new());
-        let mut fleet = Self { daemons, servers, rating, vms, links, dir, others };
+        let mut fleet = Self { daemons, servers, rating, vms, links, dir, others, held: None };
         for arguments in &plan.cheap {
             fleet.add_server("engine", "cheap", arguments);
         }
@@ -113,7 +116,10 @@
     }
 
     async fn spawn_daemons(&mut self, plan: &Plan, ip: IpAddr) {
-        let ports = free_ports(ip, plan.disks.len());
+        let held = HeldPorts::open(ip, plan.disks.len() * 3);
+        let three = |i: usize| [0, 1, 2].map(|port| held.address(i * 3 + port));
+        let ports: Vec<_> = (0..plan.disks.len()).map(three).collect();
+        self.held = Some(held);
         if plan.proxies {
             self.spawn_links(&ports).await;
         }
@@ -323,9 +329,25 @@
     }
 }
 
+impl Fleet {
+    /// Shows the end of what each daemon logged, for a test that has failed.
+    fn print_logs(&self) {
+        for daemon in &self.daemons {
+            let log = daemon.settings.with_extension("log");
+            let text = std::fs::read_to_string(log).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            let last = lines.len().saturating_sub(LOG_LINES);
+            eprintln!("{} logged last:\n{}", daemon.name, lines[last..].join("\n"));
+        }
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.daemons.iter_mut().for_each(|daemon| daemon.process.kill());
+        if std::thread::panicking() {
+            self.print_logs();
+        }
         // A folder that stays behind harms nobody.
         let _ = std::fs::remove_dir_all(&self.dir);
     }
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -1,6 +1,6 @@
 //! Real daemons and fakes as child processes, for integration tests and the demo.
 
-#![allow(dead_code, missing_docs, reason = "each test uses a part of it")]
+#![allow(dead_code, missing_docs, unused_imports, reason = "each test uses a part of it")]
 
 pub mod checker;
 pub mod fleet;
--- a/tests/env/setup.rs
+++ b/tests/env/setup.rs
@@ -1,7 +1,9 @@
 //! What a fleet's daemons need to start: addresses, settings, processes.
 
 use super::process::{Process, programs};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use socket2::{Domain, Socket, Type};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::process::{Command, Stdio};
 
@@ -13,18 +15,37 @@
     Process::spawn(&mut command)
 }
 
-/// A loopback address of this fleet's own, so that ports found free stay so.
+/// A loopback address of this fleet's own.
 pub fn own_address(number: u32) -> IpAddr {
     let id = std::process::id();
     let [_, _, high, low] = id.to_be_bytes();
     IpAddr::V4(Ipv4Addr::new(127, 10 + (number % 200) as u8, high, low.max(1)))
 }
 
-pub fn free_ports(ip: IpAddr, count: usize) -> Vec<[SocketAddr; 3]> {
-    let bind = |_| TcpListener::bind((ip, 0)).expect("a free port");
-    let listeners: Vec<[TcpListener; 3]> = (0..count).map(|_| [0; 3].map(bind)).collect();
-    let address = |listener: &TcpListener| listener.local_addr().expect("its address");
-    listeners.iter().map(|three| three.each_ref().map(address)).collect()
+/// Ports that stay reserved while this lives. Its sockets are bound but do not listen: the system
+/// gives their ports to nobody, neither to another fleet nor to an outgoing connection, while a
+/// daemon that names one may bind it, as both set `SO_REUSEADDR`.
+#[derive(Debug)]
+pub struct HeldPorts {
+    sockets: Vec<Socket>,
+}
+
+impl HeldPorts {
+    pub fn open(ip: IpAddr, count: usize) -> Self {
+        let open = |_| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+            socket.set_reuse_address(true)?;
+            socket.bind(&SocketAddr::new(ip, 0).into())?;
+            Ok(socket)
+        };
+        let sockets: io::Result<Vec<Socket>> = (0..count).map(open).collect();
+        Self { sockets: sockets.expect("free ports") }
+    }
+
+    pub fn address(&self, at: usize) -> SocketAddr {
+        let address = self.sockets[at].local_addr().expect("its address");
+        address.as_socket().expect("an IP address")
+    }
 }
 
 pub fn ini(values: &[(&str, &str, String)]) -> String {
--- /dev/null
+++ b/tests/held_ports.rs
@@ -0,0 +1,25 @@
+//! Ports that a test fleet has reserved are lost to nobody before its daemons bind them.
+
+mod env;
+
+use env::setup::{HeldPorts, own_address};
+use std::net::{TcpListener, TcpStream};
+
+#[test]
+fn a_held_port_is_given_to_nobody_and_can_still_be_bound() {
+    let ip = own_address(199);
+    let held = HeldPorts::open(ip, 6);
+    let addresses: Vec<_> = (0..6).map(|at| held.address(at)).collect();
+    let others: Vec<_> = (0..500).map(|_| TcpListener::bind((ip, 0)).unwrap()).collect();
+    for other in &others {
+        assert!(!addresses.contains(&other.local_addr().unwrap()));
+    }
+    let target = others[0].local_addr().unwrap();
+    let outgoing: Vec<_> = (0..100).map(|_| TcpStream::connect(target).unwrap()).collect();
+    for stream in &outgoing {
+        assert!(!addresses.contains(&stream.local_addr().unwrap()));
+    }
+    for address in addresses {
+        TcpListener::bind(address).unwrap();
+    }
+}
