--- a/src/daemon/operate.rs
+++ b/src/daemon/operate.rs
@@ -3,10 +3,12 @@
 use super::Node;
 use crate::control::{ControlCommand, ControlOutcome, Ticket, TicketAnswer};
 use crate::event::Event;
+use crate::group::since_start;
 use crate::group::{GroupId, Replicated};
 use crate::ledger::{Bill, BillSum, LedgerState};
 use crate::name::{OrganisationName, PoolName};
 use crate::peer::{OperatorCall, OperatorReply, Unavailable};
+use crate::settings::Settings;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use tarpc::context;
@@ -17,6 +19,8 @@
 const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 /// The longest part of a wait for `in force` that one question to a leader takes.
 const WAIT_PART: Duration = Duration::from_secs(1);
+/// How long a founder waits for all the voters that are wanted, beyond the seeds.
+const FORMING: Duration = Duration::from_secs(5);
 /// The pause before the leader is looked for again.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -120,10 +124,19 @@
         })
     }
 
+    /// Whether there are too few voters yet: fewer than wanted in the leader's first moments, or
+    /// fewer than the seeds that are known to exist.
+    fn is_forming(&self) -> bool {
+        let Settings { voters, seeds, .. } = &self.settings;
+        let status = self.cluster.control().status();
+        let young = since_start() < status.since + FORMING;
+        let wanted = if young { *voters } else { (*voters).min(seeds.len()) };
+        status.term == 1 && status.members.voters.len() < wanted
+    }
+
     /// Commits a command whose repetition changes nothing.
     async fn commit(&self, command: ControlCommand) -> OperatorReply {
-        let wanted = self.settings.voters.min(self.settings.seeds.len());
-        if self.cluster.control().status().members.voters.len() < wanted {
+        if self.is_forming() {
             return OperatorReply::Forming;
         }
         let bytes = postcard::to_stdvec(&command).expect("commands always serialise");
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -261,6 +261,7 @@
             let wanted = Wanted {
                 pool: &self.pool,
                 hash,
+                in_session: session.is_some(),
                 pinned: pinned.as_ref(),
                 parts: &self.parts,
                 tried: &tried.servers,
@@ -328,7 +329,28 @@
         self.route.kind.may_repeat() && self.may_go_on(tried)
     }
 
+    /// Why the call may not be served any more under a configuration that has come since.
+    fn withdrawn(&self) -> Option<Refused> {
+        let compiled = self.gateway.compiled()?;
+        if compiled.config.revision == self.compiled.config.revision {
+            return None;
+        }
+        let place = format!("{}{}", self.route.host, self.uri.path());
+        match compiled.route(&self.route.host, self.uri.path()) {
+            None => Some(Refused::NoRoute(place)),
+            Some(route) if compiled.owner(route, self.key.as_ref()) == Found::Stranger => {
+                Some(Refused::NoKey)
+            }
+            Some(_) => None,
+        }
+    }
+
     fn give_up(&self, tried: &Tried) -> Refused {
+        if tried.sends == 0
+            && let Some(refused) = self.withdrawn()
+        {
+            return refused;
+        }
         match &tried.lost {
             Some(cause) => Refused::Broken(cause.clone()),
             None if tried.sends > 0 => Refused::Full,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -25,7 +25,9 @@
     pub pool: &'a PoolName,
     /// What the call's session or, without one, the call itself hashes to.
     pub hash: u64,
-    /// The version that its session was served by last, where it goes on.
+    /// Whether it belongs to a session.
+    pub in_session: bool,
+    /// The version that its session was served by last, where that is known.
     pub pinned: Option<&'a Option<VersionName>>,
     /// Parts of the prompt with their tokens.
     pub parts: &'a [(u64, u32)],
@@ -151,7 +153,7 @@
     let drawn = hash_of(&(wanted.hash, "roll-out")) % 1_000 < u64::from(shift.share);
     match wanted.pinned {
         Some(version) if version.as_ref() == Some(&shift.target) => true,
-        Some(_) if is_trial(shift) => false,
+        _ if wanted.in_session && is_trial(shift) => false,
         _ => drawn,
     }
 }
--- a/src/policy/log_mean.rs
+++ b/src/policy/log_mean.rs
@@ -6,6 +6,8 @@
 pub struct LogMean {
     /// Observations.
     pub count: u64,
+    /// The least observation; 0 without observations.
+    pub least: f64,
     sum: f64,
 }
 
@@ -20,12 +22,16 @@
     /// assert!((mean.value() - 4.0).abs() < 1e-9);
     /// ```
     pub fn observe(&mut self, value: f64) {
-        self.count += 1;
-        self.sum += value.ln();
+        self.add(Self { count: 1, least: value, sum: value.ln() });
     }
 
     /// Takes the observations of another mean in.
     pub fn add(&mut self, other: LogMean) {
+        self.least = match (self.count, other.count) {
+            (_, 0) => self.least,
+            (0, _) => other.least,
+            _ => self.least.min(other.least),
+        };
         self.count += other.count;
         self.sum += other.sum;
     }
--- a/src/policy/pool_shift.rs
+++ b/src/policy/pool_shift.rs
@@ -8,12 +8,14 @@
 /// The target's shares, as parts of the exposure that a bad version may have, each from a part of
 /// the limit on. Together they stay under that exposure even if nothing is noticed, and load on the
 /// target rises in steps, as a version may be bad under load only.
-const STEPS: [(f64, f64); 4] = [(0.0, 0.4), (0.5, 0.5), (0.75, 1.0), (0.85, 1.5)];
+const STEPS: [(f64, f64); 4] = [(0.0, 0.2), (0.5, 0.35), (0.75, 0.7), (0.85, 1.1)];
 /// The part of the exposure that is kept for the end of the limit, when the target takes
 /// everything.
-const LAST: f64 = 0.35;
+const LAST: f64 = 0.25;
 /// The part of that end which is left when the roll-out is completed.
 const LEFT: f64 = 0.6;
+/// How long before its limit a roll-out is to be over, so that whoever asks at the limit sees it.
+const SETTLE: Duration = Duration::from_millis(600);
 /// All calls, in thousandths.
 const ALL: u32 = 1_000;
 /// Failures, as a part of the old version's, that a good target may have.
@@ -30,6 +32,10 @@
 const SLOW_SPREAD: f64 = 0.7;
 /// Standard deviations between a slow target and a good one's expected times.
 const SLOW_DEVIATIONS: f64 = 3.5;
+/// Answers of either version before their fastest are compared.
+const BEST_LEAST: u64 = 6;
+/// How many times as long as the old version's fastest a good target's may take.
+const BEST_RATIO: f64 = 3.0;
 /// Answers of either side before times are compared.
 const SLOW_LEAST: f64 = 3.0;
 
@@ -110,7 +116,7 @@
     if weight < SLOW_LEAST {
         return None;
     }
-    let mean = sum / weight;
+    let mean = sum / weight.max(f64::MIN_POSITIVE);
     let clear = mean * weight.sqrt() > SLOW_DEVIATIONS * SLOW_SPREAD;
     (clear && mean > SLOW_RATIO.ln()).then(|| mean.exp())
 }
@@ -135,10 +141,29 @@
     }
     let first = slower(rollout, tallies, |tally| tally.first);
     let ratio = first.or_else(|| slower(rollout, tallies, |tally| tally.pace));
+    let ratio = ratio.or_else(|| slower_at_best(rollout, tallies));
     ratio.map(|ratio| format!("answers take {ratio:.1} times as long as before"))
 }
 
-/// Whether sessions stay on the version that they were served by: the target is on trial.
+/// How many times longer the target takes between events when it is fastest. On trial it carries
+/// less than the old version, whose mean time load may have raised to that of a slow target; the
+/// fastest answers of both came with little beside them.
+fn slower_at_best(rollout: &PoolRollout, tallies: &[&Tally]) -> Option<f64> {
+    let mut strata: BTreeMap<_, (LogMean, LogMean)> = BTreeMap::new();
+    for tally in tallies.iter().filter(|tally| tally.pool == rollout.pool) {
+        let pair = strata.entry((&tally.route, &tally.model)).or_default();
+        match tally.version.as_ref() == Some(&rollout.target) {
+            true => pair.1.add(tally.pace),
+            false => pair.0.add(tally.pace),
+        }
+    }
+    let enough = |(old, new): &&(LogMean, LogMean)| old.count.min(new.count) >= BEST_LEAST;
+    let ratios = strata.values().filter(enough).map(|(old, new)| new.least / old.least);
+    ratios.filter(|ratio| *ratio > BEST_RATIO).reduce(f64::max)
+}
+
+/// Whether sessions stay on the old version: the target is on trial, and gets only calls that belong
+/// to no session. Which sessions are new is not known to a router that sees only some of their calls.
 pub fn is_trial(rollout: &PoolRollout) -> bool {
     rollout.elapsed * 2 < rollout.limit
 }
@@ -154,7 +179,7 @@
 /// let limit = Duration::from_secs(20);
 /// let rollout = PoolRollout::open(PoolName::new("p"), VersionName::new("v2"), limit);
 /// let next = next_shift(&rollout, &[], Duration::ZERO, 0.1).unwrap();
-/// assert_eq!(next.share, 40);
+/// assert_eq!(next.share, 20);
 /// ```
 pub fn next_shift(
     rollout: &PoolRollout,
@@ -169,7 +194,8 @@
     if blame(rollout, tallies).is_some() {
         return next(0, PoolRolloutStatus::RolledBack);
     }
-    let passed = elapsed.as_secs_f64() / rollout.limit.as_secs_f64();
+    let limit = rollout.limit.saturating_sub(SETTLE).max(rollout.limit / 2);
+    let passed = elapsed.as_secs_f64() / limit.as_secs_f64();
     if passed >= 1.0 - LAST * exposure * LEFT && rollout.share == ALL {
         return next(ALL, PoolRolloutStatus::Completed);
     }
