--- a/src/daemon/pool_rollouts.rs
+++ b/src/daemon/pool_rollouts.rs
@@ -15,13 +15,13 @@
 /// How often the time that has passed is committed, for a leader that comes after.
 const KEEP_EVERY: Duration = Duration::from_secs(3);
 
-/// A roll-out as this leader has followed it.
+/// A roll-out as this voter has followed it, whoever led: a new leader then knows how much of its
+/// time has passed, although the last one committed that a while ago.
 struct Followed {
-    term: u64,
     state: PoolRollout,
-    /// When it would have begun had this leader led from the beginning.
+    /// When it began, on this voter's clock.
     begun: Duration,
-    /// When it was committed last.
+    /// When its newest state was seen first.
     kept: Duration,
 }
 
@@ -29,34 +29,38 @@
     fn elapsed(&self) -> Duration {
         since_start().saturating_sub(self.begun)
     }
+
+    /// Takes a newer state in.
+    fn update(&mut self, rollout: &PoolRollout) {
+        let now = since_start();
+        let begun = now.saturating_sub(rollout.elapsed);
+        let same = self.state.target == rollout.target;
+        self.begun = if same { self.begun.min(begun) } else { begun };
+        if self.state != *rollout {
+            self.state = rollout.clone();
+            self.kept = now;
+        }
+    }
 }
 
-/// Does the duty for ever, while this daemon leads.
+/// Follows roll-outs for ever, and does the duty while this daemon leads.
 pub async fn keep_pool_rollouts(node: Arc<Node>) {
     let mut followed: BTreeMap<PoolName, Followed> = BTreeMap::new();
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         let control = node.cluster.control();
-        let status = control.status();
-        if !status.leading || !control.may_serve() {
-            followed.clear();
-            continue;
-        }
+        let leads = control.status().leading && control.may_serve();
         let config = node.control(|state| state.config().clone());
         let running = |rollout: &&PoolRollout| rollout.status == PoolRolloutStatus::Running;
         for rollout in config.shifts.values().filter(running) {
             let now = since_start();
             let begun = now.saturating_sub(rollout.elapsed);
-            let fresh = || Followed { term: status.term, state: rollout.clone(), begun, kept: now };
+            let fresh = || Followed { state: rollout.clone(), begun, kept: now };
             let known = followed.entry(rollout.pool.clone()).or_insert_with(fresh);
-            if known.term != status.term || known.state.target != rollout.target {
-                *known = fresh();
-            }
-            if known.state != *rollout {
-                known.state = rollout.clone();
-                known.kept = now;
+            known.update(rollout);
+            if leads {
+                look_after(&node, known).await;
             }
-            look_after(&node, known).await;
         }
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,12 +1,13 @@
 //! The life of one call: look-up, key, body, attempts, answer.
 
-use super::place::{Wanted, draw_pool, hash_of};
+use super::place::{Place, Wanted, draw_pool, hash_of};
 use super::relay::{Relay, relay};
 use super::reply::{ReplyBody, strip_hop_headers, whole};
 use super::sent::{Exchange, Sent};
 use super::{CallHead, Compiled, Found, Gateway, ModelWish, Refused};
 use crate::control::{ConfiguredRoute, KeyHash};
-use crate::name::{ModelName, OrganisationName, PoolName, VersionName, VmName};
+use crate::name::{ModelName, OrganisationName, PoolName, VmName};
+use crate::policy::keeps_answer;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -23,8 +24,8 @@
 const RECEIVE_LIMIT: Duration = Duration::from_secs(10);
 /// The part of a call's time that the first of several attempts at a plain service gets.
 const FIRST_PART: f64 = 0.4;
-/// The confidence from which on a smaller model's answer is passed on.
-const SURE: u8 = 50;
+/// How many times as long as the smallest model's the largest model's answers take to begin.
+const LARGE_PACE: f64 = 3.0;
 /// How many times its aim a stream's first event may take before another server is asked.
 const PATIENCE: u32 = 3;
 
@@ -59,6 +60,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// When it came.
+    pub started: Instant,
     /// When it must be answered at the latest.
     pub until: Instant,
 }
@@ -152,6 +155,7 @@
         uri,
         headers: parts.headers,
         body,
+        started,
         until,
     })
 }
@@ -248,25 +252,11 @@
         event: Option<u64>,
     ) -> Result<Box<Exchange>, Refused> {
         let session = self.head.session.as_deref();
-        let hash = match session {
-            Some(session) => hash_of(session),
-            None => hash_of(self.head.id.as_ref().map_or(&[][..], |id| id.as_bytes())),
-        };
-        let pinned: Option<Option<VersionName>> =
-            session.and_then(|session| self.gateway.sessions.version(session));
         loop {
             if tried.sends > 0 && !self.may_go_on(tried) {
                 return Err(self.give_up(tried));
             }
-            let wanted = Wanted {
-                pool: &self.pool,
-                hash,
-                in_session: session.is_some(),
-                pinned: pinned.as_ref(),
-                parts: &self.parts,
-                tried: &tried.servers,
-            };
-            let place = self.gateway.place(&self.compiled, &wanted);
+            let place = self.find_place(&tried.servers);
             let Some(place) = place.filter(|_| tried.servers.len() < TRIES) else {
                 return Err(self.give_up(tried));
             };
@@ -303,14 +293,37 @@
     /// The call at a larger model, where the answer's own model is not sure enough of it.
     fn escalation(&self, exchange: &Exchange, tried: &Tried) -> Option<Self> {
         let (model, confidence) = (self.model.as_ref()?, exchange.head.confidence?);
-        let largest = self.route.models.last().filter(|largest| *largest != model)?;
-        let keep = confidence >= SURE || !self.may_go_on_after_run(tried);
-        log::info!("call {}: {model} is {confidence} sure, kept: {keep}", self.name());
-        if keep || !self.gateway.may_repeat(&self.pool) {
+        let largest = self.route.models.last().filter(|largest| *largest != model)?.clone();
+        if !self.may_go_on_after_run(tried) {
             return None;
         }
-        let model = Some(largest.clone());
-        Some(Self { parts: salted(&self.head, model.as_ref()), model, ..self.clone() })
+        let parts = salted(&self.head, Some(&largest));
+        let larger = Self { parts, model: Some(largest), ..self.clone() };
+        let wait = larger.find_place(&[])?.wait * LARGE_PACE;
+        let left = self.started + self.route.aim;
+        let left = left.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
+        let keep = keeps_answer(confidence, wait, left);
+        log::info!("call {}: {model} is {confidence} sure, kept: {keep}", self.name());
+        (!keep && self.gateway.may_repeat(&self.pool)).then_some(larger)
+    }
+
+    /// The best place for the call now, but for servers that were tried.
+    fn find_place(&self, tried: &[VmName]) -> Option<Place> {
+        let session = self.head.session.as_deref();
+        let hash = match session {
+            Some(session) => hash_of(session),
+            None => hash_of(self.head.id.as_ref().map_or(&[][..], |id| id.as_bytes())),
+        };
+        let pinned = session.and_then(|session| self.gateway.sessions.version(session));
+        let wanted = Wanted {
+            pool: &self.pool,
+            hash,
+            in_session: session.is_some(),
+            pinned: pinned.as_ref(),
+            parts: &self.parts,
+            tried,
+        };
+        self.gateway.place(&self.compiled, &wanted)
     }
 
     /// The caller's id of the call, for logs.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -42,8 +42,10 @@
     pub server: Arc<ServerState>,
     /// Prompt tokens that the server is not believed to keep.
     pub unread: u64,
-    /// The expected time to its answer, in ms.
+    /// The expected time to its answer, in ms, if it were as fast as any.
     pub expected: f64,
+    /// The expected time to its answer, in ms, as it has been lately.
+    pub wait: f64,
 }
 
 /// Which versions may take a call.
@@ -129,7 +131,8 @@
             let cost = view.expected_wait() * rand::rng().random_range(1.0..1.0 + SPREAD);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let expected = ServerView { unread: unread as f64, ..view }.plain_wait();
-                best = Some((cost, Place { server: server.clone(), unread, expected }));
+                let wait = expected * glance.slowness;
+                best = Some((cost, Place { server: server.clone(), unread, expected, wait }));
             }
         }
         best.map(|(_, place)| place)
--- a/src/gateway/sent.rs
+++ b/src/gateway/sent.rs
@@ -73,7 +73,7 @@
 impl Call {
     /// Sends the call to a server and waits for the head of the answer, for `patience` at most.
     pub(super) async fn send(&self, place: Place, event: Option<u64>, patience: Duration) -> Sent {
-        let Place { server, unread, expected } = place;
+        let Place { server, unread, expected, .. } = place;
         let placed = server.begin(&self.parts, unread);
         let version = server.vm.version.as_ref();
         let mut counted = self.gateway.tallies.begin(
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 mod board;
 mod choose;
 mod delta;
+mod escalation;
 mod estimate;
 mod expected_wait;
 mod fair_queue;
@@ -29,6 +30,7 @@
 pub use board::{Board, Verdict};
 pub use choose::{Choice, ChooseError, Draw, choose, share_point};
 pub use delta::{CountReport, Delta};
+pub use escalation::keeps_answer;
 pub use estimate::Estimate;
 pub use expected_wait::ServerView;
 pub use fair_queue::{FairQueue, Queued};
