--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -12,9 +12,10 @@
 use crate::operator::{OperatorFormat, serve_orders};
 use crate::peer::{Cluster, PeerIdentity, PeerNet, dispatch};
 use crate::settings::Settings;
+use crate::status_front::{metrics_answer, serve_status};
 use crate::storage::DataFolder;
 use crate::vms::{VmSnapshot, VmSource};
-use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
@@ -38,7 +39,20 @@
 ) -> Result<(), Error> {
     let operators = bind(settings.operators)?;
     let peers = bind(settings.peers)?;
-    let node = open(settings)?;
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    if metrics::set_global_recorder(recorder).is_err() {
+        log::warn!("metrics were installed before");
+    }
+    if let Some(address) = settings.metrics {
+        let listener = bind(address)?;
+        let wrap = |cause| bind_error(address, cause);
+        listener.set_nonblocking(true).map_err(wrap)?;
+        let listener = tokio::net::TcpListener::from_std(listener).map_err(wrap)?;
+        let handle = handle.clone();
+        tokio::spawn(serve_status(listener, move |path| metrics_answer(&handle, path)));
+    }
+    let node = open(settings, handle)?;
     let (data_centre, durable) = (node.settings.data_centre.clone(), node.identity().durable);
     node.journal.record(Event::DaemonStarted { data_centre, durable });
     let wrap = |cause| bind_error(node.settings.peers, cause);
@@ -54,7 +68,7 @@
     run_until_stopped(&node).await
 }
 
-fn open(settings: Settings) -> Result<Arc<Node>, Error> {
+fn open(settings: Settings, metrics: PrometheusHandle) -> Result<Arc<Node>, Error> {
     let folder = match &settings.data_folder {
         Some(path) => Some(DataFolder::open(path, &settings.vm)?),
         None => None,
@@ -85,7 +99,7 @@
         leases: Mutex::new(None),
         board: Mutex::new(None),
         pools: LeaderPools::default(),
-        metrics: PrometheusBuilder::new().build_recorder().handle(),
+        metrics,
         stop: tokio::sync::Notify::new(),
     }))
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -268,8 +268,15 @@
             tried.servers.push(server.vm.vm.clone());
             let patience = self.patience(tried);
             tried.sends += 1;
+            metrics::counter!("samphireshift_attempts_total").increment(1);
             match self.send(place, event, patience).await {
                 Sent::Answered(exchange) => {
+                    let (status, attempt) = (exchange.response.status(), tried.sends);
+                    log::debug!(
+                        "call {}: {} answers {status}, attempt {attempt}",
+                        self.name(),
+                        server.vm.vm
+                    );
                     if let Some(session) = session {
                         self.gateway.sessions.note(session, server.vm.version.clone());
                     }
@@ -303,7 +310,7 @@
         let left = self.started + self.route.aim;
         let left = left.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         let keep = keeps_answer(confidence, wait, left);
-        log::info!("call {}: {model} is {confidence} sure, kept: {keep}", self.name());
+        log::debug!("call {}: {model} is {confidence} sure, kept: {keep}", self.name());
         (!keep && self.gateway.may_repeat(&self.pool)).then_some(larger)
     }
 
--- a/src/gateway/call_format.rs
+++ b/src/gateway/call_format.rs
@@ -106,6 +106,9 @@
     /// What is wrong with it.
     fn read(&self, headers: &HeaderMap) -> Result<CallHead, String>;
 
+    /// The caller's id of a request, for logs.
+    fn name<'a>(&self, headers: &'a HeaderMap) -> &'a str;
+
     /// Turns a caller's head into that of the request to a server: what is for the router alone
     /// goes, what the router decided comes.
     fn write(&self, headers: &mut HeaderMap, sent: &SentHead<'_>);
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,6 +1,7 @@
 //! The port for callers, and its graceful stop.
 
 use super::Gateway;
+use super::Refused;
 use super::call::serve;
 use super::reply::{ReplyBody, refuse};
 use http::{HeaderValue, Request, Response, header};
@@ -12,7 +13,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -100,13 +101,37 @@
     let _ = closing.wait_for(|closing| *closing).await;
 }
 
+/// Counts an answer's beginning by its outcome.
+fn note(served: &Result<Response<ReplyBody>, Refused>, begun: Instant) {
+    match served {
+        Ok(response) => {
+            let status = response.status().as_u16().to_string();
+            metrics::counter!("samphireshift_calls_total", "status" => status).increment(1);
+            let seconds = begun.elapsed().as_secs_f64();
+            metrics::histogram!("samphireshift_first_byte_seconds").record(seconds);
+        }
+        Err(refused) => {
+            let reason = refused.reason();
+            metrics::counter!("samphireshift_calls_refused_total", "reason" => reason).increment(1);
+        }
+    }
+}
+
 async fn answer(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
 ) -> Result<Response<ReplyBody>, Infallible> {
+    let id = gateway.format.name(request.headers()).to_owned();
+    let begun = Instant::now();
     let served = serve(&gateway, request).await;
+    note(&served, begun);
     let mut response = served.unwrap_or_else(|refused| {
-        log::info!("a call is refused: {refused}");
+        let revision = gateway.lease.revision().unwrap_or(0);
+        let left = gateway.lease.left().as_millis();
+        let reason = refused.reason();
+        log::info!(
+            "call {id}: refused as {reason}: {refused} (revision {revision}, lease left {left} ms)"
+        );
         refuse(&refused, gateway.format.as_ref())
     });
     if gateway.stopping.load(Ordering::Relaxed) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,6 @@
 mod lease_loop;
 mod permit;
 mod place;
-mod ready;
 mod refusal;
 mod relay;
 mod reply;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -2,13 +2,15 @@
 
 use super::front::{Callers, serve_callers};
 use super::lease_loop::keep_lease;
-use super::ready::serve_ready;
 use super::{CallFormat, Gateway};
 use crate::consensus::MemberId;
 use crate::error::Error;
 use crate::event::{Event, Journal};
 use crate::peer::PeerIdentity;
 use crate::settings::Settings;
+use crate::status_front::{metrics_answer, serve_status};
+use http::StatusCode;
+use metrics_exporter_prometheus::PrometheusBuilder;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -37,6 +39,15 @@
         Some(address) => Some(bind(address).await?),
         None => None,
     };
+    if let Some(address) = settings.metrics {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        if metrics::set_global_recorder(recorder).is_err() {
+            log::warn!("metrics were installed before");
+        }
+        let listener = bind(address).await?;
+        tokio::spawn(serve_status(listener, move |path| metrics_answer(&handle, path)));
+    }
     let journal = Arc::new(Journal::open(settings.vm.clone()));
     let own = PeerIdentity {
         vm: settings.vm.clone(),
@@ -52,7 +63,8 @@
     let gateway = Arc::new(Gateway::open(settings, format, journal));
     tokio::spawn(keep_lease(gateway.clone(), own));
     if let Some(ready) = ready {
-        tokio::spawn(serve_ready(gateway.clone(), ready));
+        let gateway = gateway.clone();
+        tokio::spawn(serve_status(ready, move |path| (readiness(&gateway, path), String::new())));
     }
     let (close, closing) = watch::channel(false);
     let callers = Arc::new(Callers::default());
@@ -63,6 +75,14 @@
     Ok(())
 }
 
+fn readiness(gateway: &Gateway, path: &str) -> StatusCode {
+    match (gateway.format.is_ready_path(path), gateway.is_ready()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     let wrap = |cause| Error::Bind { address: address.to_string(), cause };
     TcpListener::bind(address).await.map_err(wrap)
