--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -25,7 +25,7 @@
 /// The part of a call's time that the first of several attempts at a plain service gets.
 const FIRST_PART: f64 = 0.4;
 /// How many times as long as the smallest model's the largest model's answers take to begin.
-const LARGE_PACE: f64 = 3.0;
+const LARGE_PACE: f64 = 2.2;
 /// How many times its aim a stream's first event may take before another server is asked.
 const PATIENCE: u32 = 3;
 
