--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -12,13 +12,13 @@
 use crate::operator::{OperatorFormat, serve_orders};
 use crate::peer::{Cluster, PeerIdentity, PeerNet, dispatch};
 use crate::settings::Settings;
+use crate::signals::Signals;
 use crate::status_front::{metrics_answer, serve_status};
 use crate::storage::DataFolder;
 use crate::vms::{VmSnapshot, VmSource};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 
 /// How long a hand-over of leadership may take at a stop.
@@ -37,6 +37,8 @@
     format: Arc<dyn OperatorFormat>,
     source: Arc<dyn VmSource>,
 ) -> Result<(), Error> {
+    // Before anything else: a signal that nobody waits for would end the process.
+    let signals = Signals::open()?;
     let operators = bind(settings.operators)?;
     let peers = bind(settings.peers)?;
     let recorder = PrometheusBuilder::new().build_recorder();
@@ -65,7 +67,8 @@
     tokio::spawn(keep_pool_rollouts(node.clone()));
     tokio::spawn(keep_log(node.journal.clone()));
     tokio::spawn(serve_orders(node.clone(), format, operators));
-    run_until_stopped(&node).await
+    run_until_stopped(&node, signals).await;
+    Ok(())
 }
 
 fn open(settings: Settings, metrics: PrometheusHandle) -> Result<Arc<Node>, Error> {
@@ -162,16 +165,10 @@
     }
 }
 
-async fn run_until_stopped(node: &Node) -> Result<(), Error> {
-    let wrap = |cause| Error::Bind { address: "signals".to_owned(), cause };
-    let mut terminate = signal(SignalKind::terminate()).map_err(wrap)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(wrap)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => log::info!("settings are read at the next start"),
-            () = node.stop.notified() => break,
-        }
+async fn run_until_stopped(node: &Node, signals: Signals) {
+    tokio::select! {
+        () = signals.stopped() => {}
+        () = node.stop.notified() => {}
     }
     node.journal.record(Event::DaemonStopping);
     node.cluster.groups().for_each(|group| group.hand_over());
@@ -179,5 +176,4 @@
     node.cluster.groups().for_each(|group| group.stop());
     node.journal.record(Event::DaemonStopped);
     node.journal.flush();
-    Ok(())
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,6 +17,8 @@
 /// A stream whose first event has come.
 pub struct Relay {
     call: Arc<Call>,
+    /// The head of the first server's answer, which stays the answer's head.
+    head: Response<()>,
     exchange: Option<Box<Exchange>>,
     events: Events,
     first: Option<Bytes>,
@@ -41,7 +43,11 @@
     pub async fn open(call: Arc<Call>, exchange: Box<Exchange>) -> Result<Self, String> {
         let events = Events { last: call.head.event, ..Events::default() };
         let tried = Tried::default();
-        let mut relay = Self { call, exchange: Some(exchange), events, first: None, tried };
+        let mut head = Response::new(());
+        *head.status_mut() = exchange.response.status();
+        *head.headers_mut() = exchange.response.headers().clone();
+        let exchange = Some(exchange);
+        let mut relay = Self { call, head, exchange, events, first: None, tried };
         relay.first = relay.read().await.map_err(|error| error.to_string())?;
         if let Some(exchange) = &mut relay.exchange {
             exchange.begun();
@@ -120,11 +126,7 @@
 /// Turns a stream into the answer to the caller.
 pub fn relay(mut relay: Relay, tried: Tried) -> Response<ReplyBody> {
     relay.tried = tried;
-    let mut response = Response::new(());
-    if let Some(exchange) = &mut relay.exchange {
-        *response.status_mut() = exchange.response.status();
-        *response.headers_mut() = exchange.response.headers().clone();
-    }
+    let mut response = std::mem::replace(&mut relay.head, Response::new(()));
     let headers = response.headers_mut();
     strip_hop_headers(headers);
     headers.remove(header::CONTENT_LENGTH);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -8,6 +8,7 @@
 use crate::event::{Event, Journal};
 use crate::peer::PeerIdentity;
 use crate::settings::Settings;
+use crate::signals::Signals;
 use crate::status_front::{metrics_answer, serve_status};
 use http::StatusCode;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -16,7 +17,6 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
 /// How often recorded events are written to the log.
@@ -34,6 +34,8 @@
 /// # Errors
 /// Where a port cannot be used.
 pub async fn run(settings: Settings, format: Arc<dyn CallFormat>) -> Result<(), Error> {
+    // Before anything else: a signal that nobody waits for would end the process.
+    let signals = Signals::open()?;
     let listener = bind(settings.callers).await?;
     let ready = match settings.ready {
         Some(address) => Some(bind(address).await?),
@@ -70,7 +72,7 @@
     let callers = Arc::new(Callers::default());
     tokio::spawn(serve_callers(gateway.clone(), listener, callers.clone(), closing));
     tokio::spawn(keep_log(gateway.journal.clone()));
-    await_stop().await?;
+    signals.stopped().await;
     stop(&gateway, &callers, &close).await;
     Ok(())
 }
@@ -95,18 +97,6 @@
     }
 }
 
-async fn await_stop() -> Result<(), Error> {
-    let wrap = |cause| Error::Bind { address: "signals".to_owned(), cause };
-    let mut terminate = signal(SignalKind::terminate()).map_err(wrap)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(wrap)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!("settings are read at the next start"),
-        }
-    }
-}
-
 /// Tells the balancer to look away, serves on until it has, and ends when all answers are out.
 async fn stop(gateway: &Gateway, callers: &Callers, close: &watch::Sender<bool>) {
     let begun = Instant::now();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod policy;
 pub mod route;
 pub mod settings;
+pub mod signals;
 pub mod status_front;
 pub mod storage;
 pub mod vms;
--- a/tests/pool_shift.rs
+++ b/tests/pool_shift.rs
@@ -146,6 +146,16 @@
     assert!(got <= exposure, "{got:.3} of all calls");
 }
 
+#[test]
+fn a_doubtful_target_is_not_given_everything() {
+    let doubtful = Seen { good: 3, pace: 30.0, best: 20.0, ..NEW };
+    let tallies = [tally(OLD), tally(doubtful)];
+    let running = PoolRollout { share: 160, ..rollout() };
+    assert!(blame(&running, &tallies).is_none());
+    let next = next_shift(&running, &tallies, LIMIT, EXPOSURE).unwrap();
+    assert_eq!(next.status, PoolRolloutStatus::RolledBack);
+}
+
 #[test]
 fn sessions_stay_during_the_first_half() {
     let at = |part: f64| PoolRollout { elapsed: LIMIT.mul_f64(part), ..rollout() };
