Bound what a backend server may send that is no answer

Change: bytes read from a server without progress (a head, a part of a body) are counted at the socket, at most 128 KiB; heads at most 64 KiB; bodies that are held count towards a budget of the process, small ones always fit; in streams, what is no event at most 64 KiB and what is no token at most 256 KiB; a stream without an event for as long as a caller would wait is broken off, the time of a slow caller not counted. A response that names no call is not taken for an answer (routers), or its connection is used once (daemons); calls of services have a connection of their own: a second copy of an answer, late, reaches nobody.

--- a/src/backend/connection_pool.rs
+++ b/src/backend/connection_pool.rs
@@ -1,9 +1,8 @@
-use super::{ExchangeState, PermitCheckedStream, WritePermit};
+use super::{BackendBody, ExchangeState, PermitCheckedStream, WritePermit};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
@@ -21,6 +20,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time limit of [`ConnectionPool::get`] and [`ConnectionPool::post`], connecting included.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest response to [`ConnectionPool::get`] and [`ConnectionPool::post`].
+const MAX_QUERY_BYTES: usize = 8 << 20;
+/// The largest read buffer of a connection, and so the largest head of a response.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// How long sent data or keepalive probes may stay unacknowledged before the kernel closes the
 /// connection. The backend server's kernel acknowledges them even while its engine is busy, so this
 /// finds connections whose state a device on the path has lost.
@@ -70,6 +73,8 @@
     sender: Sender,
     exchange: Arc<ExchangeState>,
     thread: ThreadId,
+    /// Whether the connection may be used for another exchange.
+    reusable: bool,
 }
 
 impl ConnectionPool {
@@ -97,6 +102,7 @@
                 sender,
                 exchange,
                 thread,
+                reusable: true,
             });
         }
         let connecting = TcpStream::connect(address);
@@ -109,13 +115,17 @@
         configure_socket(&stream).map_err(|cause| not_sent(cause.to_string()))?;
         let exchange = Arc::new(ExchangeState::default());
         let stream = PermitCheckedStream::new(stream, exchange.clone());
-        let opened = handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
+        let opened = Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+            .await;
         let (sender, connection) = opened.map_err(|cause| not_sent(cause.to_string()))?;
         tokio::spawn(async move {
             // The exchange in progress gets the same error from its sender.
             let _ = connection.await;
         });
-        Ok(PooledConnection { idle: self.idle.clone(), address, sender, exchange, thread })
+        let idle = self.idle.clone();
+        Ok(PooledConnection { idle, address, sender, exchange, thread, reusable: true })
     }
 
     /// Fetches a small document with GET. `None` unless a complete response with a status of 2xx
@@ -141,7 +151,10 @@
         if !response.status().is_success() {
             return None;
         }
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_QUERY_BYTES).collect().await;
+        let body =
+            body.inspect_err(|error| log::warn!("no usable response from {address}: {error}"));
+        let body = body.ok()?.to_bytes();
         connection.return_to_pool();
         Some(body)
     }
@@ -182,7 +195,7 @@
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<BackendBody>, SendError> {
         let host = HeaderValue::from_str(&self.address.to_string()).expect("addresses are ASCII");
         request.headers_mut().insert(header::HOST, host);
         self.send_unchanged(request).await
@@ -195,15 +208,23 @@
     pub async fn send_unchanged(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<BackendBody>, SendError> {
         let outcome = self.sender.try_send_request(request).await;
-        outcome.map_err(|mut error| match error.take_message() {
+        self.exchange.record_progress();
+        let response = outcome.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent(error.error().to_string()),
             None if self.exchange.bytes_written() == 0 => {
                 SendError::NotSent(error.error().to_string())
             }
             None => SendError::MaybeSent(error.error().to_string()),
-        })
+        })?;
+        Ok(response.map(|body| BackendBody::new(body, self.exchange.clone())))
+    }
+
+    /// Closes the connection after this exchange, because its responses do not name their request: a
+    /// second copy that came late could not be told from the response to the next request.
+    pub fn set_single_use(&mut self) {
+        self.reusable = false;
     }
 
     /// Returns the connection to the pool. To be called only after the whole response was read.
@@ -214,6 +235,9 @@
     /// Returns the connection to the pool, to be reused within `idle_timeout`, which is capped at
     /// `IDLE_TIMEOUT`.
     pub fn return_to_pool_for(self, idle_timeout: Duration) {
+        if !self.reusable {
+            return;
+        }
         let now = Instant::now();
         let mut shard = self.idle.shard(self.address).lock().expect("connection lock");
         let stack = shard.entry(self.address).or_default();
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -1,5 +1,7 @@
 //! HTTP clients of the engines, the plain services and the rating service.
 
+mod backend_body;
+mod byte_budget;
 mod cache_events;
 mod chat_stream_parser;
 mod chunk;
@@ -9,10 +11,12 @@
 mod rating;
 mod write_permit;
 
+pub use backend_body::{BackendBody, BodyError};
+pub use byte_budget::{ByteBudget, ByteShare};
 pub use cache_events::{CacheChange, CacheEvent, fetch_cache_events};
 pub use chat_stream_parser::{ChatStreamParser, ParsedEvents, StreamError};
 pub use connection_pool::{ConnectionPool, PooledConnection, SendError};
-pub use engine::{ChatCompletion, EngineCall, Usage, estimate_tokens};
+pub use engine::{ChatCompletion, EngineCall, REQUEST_ID_HEADER, Usage, estimate_tokens};
 pub use load::{LoadReport, LoadSink, LoadedVersions};
 pub use rating::{RatingRequest, request_rating};
 pub use write_permit::{ExchangeState, PermitCheckedStream, WritePermit};
--- a/src/backend/write_permit.rs
+++ b/src/backend/write_permit.rs
@@ -13,11 +13,17 @@
     fn run_if_permitted(&self, write: &mut dyn FnMut()) -> bool;
 }
 
-/// The state of the exchange that a connection is used for: its permit and the bytes written.
+/// The most bytes that a server may send without progress: before the head of its response is
+/// complete, or as framing that carries no part of the body.
+const MAX_BYTES_WITHOUT_PROGRESS: u64 = 128 << 10;
+
+/// The state of the exchange that a connection is used for: its permit, the bytes written, and those
+/// read since the response last made progress.
 #[derive(Default)]
 pub struct ExchangeState {
     permit: Mutex<Option<Arc<dyn WritePermit>>>,
     bytes_written: AtomicU64,
+    bytes_since_progress: AtomicU64,
 }
 
 impl ExchangeState {
@@ -25,6 +31,17 @@
     pub fn start(&self, permit: Option<Arc<dyn WritePermit>>) {
         *self.permit.lock().expect("permit lock") = permit;
         self.bytes_written.store(0, Ordering::SeqCst);
+        self.record_progress();
+    }
+
+    /// The head of the response or a part of its body has arrived.
+    pub fn record_progress(&self) {
+        self.bytes_since_progress.store(0, Ordering::SeqCst);
+    }
+
+    /// Whether more may be read; false if the server sends without end but nothing of a response.
+    fn may_read(&self) -> bool {
+        self.bytes_since_progress.load(Ordering::SeqCst) < MAX_BYTES_WITHOUT_PROGRESS
     }
 
     /// Bytes that were written to the socket since the exchange started.
@@ -76,7 +93,16 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        if !self.exchange.may_read() {
+            return Poll::Ready(Err(io::Error::other(
+                "the server sends bytes that are no part of a response",
+            )));
+        }
+        let filled = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let count = (buffer.filled().len() - filled) as u64;
+        self.exchange.bytes_since_progress.fetch_add(count, Ordering::SeqCst);
+        read
     }
 }
 
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -6,9 +6,10 @@
 use super::peer_server::serve_peers;
 use super::rollouts::manage_rollouts;
 use super::{Node, stop};
-use crate::backend::{ConnectionPool, LoadedVersions};
+use crate::backend::{ByteBudget, ConnectionPool, LoadedVersions};
 use crate::consensus::{MemberId, Timing};
 use crate::control::{ControlState, RouterId};
+use crate::distribution::Publisher;
 use crate::error::Error;
 use crate::event::{Event, Journal};
 use crate::group::{Envelope, Group, GroupId, GroupOptions, ReplicatedState};
@@ -38,6 +39,8 @@
 /// Subfolder of the data folder that holds the event files.
 const EVENT_FOLDER: &str = "events";
 
+/// The most bytes of answers that are held at the same time.
+const MAX_BUFFERED_BYTES: usize = 64 << 20;
 /// Maximum number of concurrent calls from a router to the rating service.
 const MAX_CONCURRENT_RATINGS: usize = 64;
 
@@ -97,6 +100,7 @@
         leases: Mutex::new(None),
         aggregator: Mutex::new(None),
         pools: LeaderPools::default(),
+        publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
     }))
@@ -184,6 +188,7 @@
         lease: Arc::new(RouterLease::default()),
         ledger: LedgerClient::new(cluster.clone(), name, settings.retention.pins),
         connections,
+        buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
         vms,
         loads,
         servers,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,6 @@
 use crate::policy::accepts_answer;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -37,7 +36,7 @@
     /// The configuration that the call was accepted under.
     pub index: Arc<RouteIndex>,
     /// The matching route.
-    pub route: ConfiguredRoute,
+    pub route: Arc<ConfiguredRoute>,
     /// The pool that serves the call.
     pub pool: PoolName,
     /// The parsed request headers.
@@ -148,14 +147,12 @@
 /// Reads the whole response body before any of it is sent, so that a truncated response can be
 /// retried.
 async fn collect_response(mut exchange: Box<Exchange>) -> Result<Response<ResponseBody>, String> {
-    let read = Limited::new(exchange.response.body_mut(), MAX_RESPONSE_BYTES).collect().await;
-    let body = match read {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            exchange.in_flight.server.record_failure();
-            return Err(format!("the response was cut short: {error}"));
-        }
-    };
+    let mut share = exchange.buffers.share();
+    let read = exchange.response.body_mut().read_whole(MAX_RESPONSE_BYTES, &mut share).await;
+    let body = read.map_err(|error| {
+        exchange.in_flight.server.record_failure();
+        error.to_string()
+    })?;
     let mut response = Response::new(full_body(body));
     *response.status_mut() = exchange.response.status();
     let mut headers = std::mem::take(exchange.response.headers_mut());
@@ -314,6 +311,9 @@
         }
         match &history.last_failure {
             Some(cause) => GatewayError::ResponseLost(cause.clone()),
+            None if let Some(wait) = self.gateway.servers.pool_hold_left(&self.pool) => {
+                GatewayError::ServersHeld { pool: self.pool.to_string(), wait }
+            }
             None if history.sends > 0 => GatewayError::ServersFull,
             None => GatewayError::NoServer(self.pool.to_string()),
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,11 +7,11 @@
 use super::server_table::InFlightCall;
 use super::tallies::{CallOutcome, CallRecorder};
 use super::{ForwardedHead, ResponseHead};
-use crate::backend::{PooledConnection, SendError};
+use crate::backend::{BackendBody, ByteBudget, PooledConnection, SendError};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A connection is dropped this long before its server's announced keep-alive timeout, which is in
@@ -35,13 +35,15 @@
 /// A call whose response head has arrived.
 pub struct Exchange {
     /// The response of the server.
-    pub response: Response<Incoming>,
+    pub response: Response<BackendBody>,
     /// Its parsed headers.
     pub head: ResponseHead,
     /// Counts the call at the server until it is dropped.
     pub in_flight: InFlightCall,
     /// Records the call in the tallies.
     pub recorder: CallRecorder,
+    /// The budget that the bytes held of the response count towards.
+    pub buffers: Arc<ByteBudget>,
     connection: PooledConnection,
 }
 
@@ -99,9 +101,14 @@
                     return SendOutcome::NotSent(error.to_string());
                 }
             };
-        let route = (self.route.host.as_str(), self.route.prefix.as_str());
-        let (lease, pool) = (self.gateway.lease.clone(), self.pool.clone());
-        connection.set_permit(RoutePermit::new(lease, route, pool, self.key.clone()));
+        // Opening the connection took time, in which the server may have said more.
+        if self.gateway.servers.is_leaving(&server.vm.name) || !server.hold_left().is_zero() {
+            connection.return_to_pool();
+            return SendOutcome::NotSent("the server wants no calls any more".to_owned());
+        }
+        let (lease, revision) = (self.gateway.lease.clone(), self.index.config.revision);
+        let (route, pool) = (self.route.clone(), self.pool.clone());
+        connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
         let request = self.request(&server.vm.name, last_event);
         let result = tokio::time::timeout(timeout, connection.send_unchanged(request)).await;
         let response = match result {
@@ -121,10 +128,28 @@
         if let Some(load) = head.load {
             server.record_load(load);
         }
+        if head.leaving && self.gateway.servers.mark_leaving(&server.vm) {
+            log::info!("call {}: server {} says that it is leaving", self.log_id(), server.vm.name);
+        }
+        let declines = response.status() == StatusCode::SERVICE_UNAVAILABLE
+            || response.status() == StatusCode::TOO_MANY_REQUESTS;
+        if let Some(wait) = head.retry_after.filter(|_| declines) {
+            let (id, wait_ms) = (self.log_id(), wait.as_millis());
+            log::info!("call {id}: server {} asks for a pause of {wait_ms} ms", server.vm.name);
+            server.hold(wait);
+        }
         let is_other_call = head.id.is_some() && self.head.id.is_some() && head.id != self.head.id;
         if is_other_call {
             return SendOutcome::Lost("the response belongs to another call".to_owned());
         }
+        let names_no_call = head.id.is_none() && self.head.id.is_some();
+        if names_no_call
+            && !head.not_executed
+            && response.status() != StatusCode::MISDIRECTED_REQUEST
+        {
+            server.record_failure();
+            return SendOutcome::Lost("the response names no call".to_owned());
+        }
         if head.not_executed || response.status() == StatusCode::MISDIRECTED_REQUEST {
             server.pause();
             return SendOutcome::NotRun(response.status());
@@ -142,6 +167,7 @@
             head,
             in_flight,
             recorder,
+            buffers: self.gateway.buffers.clone(),
             connection,
         }))
     }
@@ -173,7 +199,7 @@
 }
 
 /// Why a response cannot be the server's own; `None` if it can.
-fn invalid_reason(response: &Response<Incoming>, head: &ResponseHead) -> Option<&'static str> {
+fn invalid_reason(response: &Response<BackendBody>, head: &ResponseHead) -> Option<&'static str> {
     if response.headers().contains_key(header::CONTENT_ENCODING) {
         return Some("the response has a Content-Encoding that was not requested");
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,8 @@
 use super::sessions::Sessions;
 use super::tallies::Tallies;
 use super::{HeaderFormat, RouteIndex};
-use crate::backend::ConnectionPool;
+use crate::backend::{ByteBudget, ConnectionPool};
+use crate::control::Config;
 use crate::event::Journal;
 use crate::group::since_start;
 use crate::name::{DataCentre, PoolName};
@@ -18,6 +19,9 @@
 /// Time limit for connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The most bytes of responses that are held at the same time, for routers with 160 MB of memory.
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
+
 /// A router of configured routes.
 pub struct Gateway {
     /// Reads and writes the headers of callers and backend servers.
@@ -36,6 +40,8 @@
     pub sessions: Sessions,
     /// Call results by version, reported to the voters.
     pub tallies: Arc<Tallies>,
+    /// Limits the bytes of responses that are held at the same time.
+    pub buffers: Arc<ByteBudget>,
     /// Whether new calls are rejected.
     pub closed: AtomicBool,
     /// Whether the router is shutting down and reports itself as not ready.
@@ -59,6 +65,7 @@
             servers: ServerTable::default(),
             sessions: Sessions::new(settings.fleet_limits.session_timeout * 2),
             tallies: Arc::default(),
+            buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
             closed: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             router_count: AtomicU32::new(1),
@@ -81,7 +88,13 @@
         if let Some(cached) = cached.filter(|cached| cached.config.revision == config.revision) {
             return Some(cached);
         }
-        let index = Arc::new(RouteIndex::build(config)?);
+        self.prepare(&config)
+    }
+
+    /// Indexes a configuration before it is used, so that no call waits for it; `None` without a
+    /// route table.
+    pub fn prepare(&self, config: &Arc<Config>) -> Option<Arc<RouteIndex>> {
+        let index = Arc::new(RouteIndex::build(config.clone())?);
         *self.route_index.write().expect("configuration lock") = Some(index.clone());
         Some(index)
     }
@@ -93,7 +106,7 @@
 
     /// Whether the router has a valid configuration and a VM list.
     fn can_serve(&self) -> bool {
-        self.servers.digest() != 0 && self.route_index().is_some()
+        self.servers.is_known() && self.route_index().is_some()
     }
 
     /// Whether the router has been able to serve calls at any time since it started.
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -3,6 +3,7 @@
 use super::call::{AttemptHistory, Call};
 use super::exchange::Exchange;
 use super::response::{ResponseBody, stream_body, strip_hop_headers};
+use crate::backend::ByteShare;
 use bytes::{Buf, Bytes, BytesMut};
 use futures::stream;
 use http::{Response, header};
@@ -10,9 +11,20 @@
 use hyper::body::Frame;
 use std::io;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// The largest single event, in bytes.
-const MAX_EVENT_BYTES: usize = 4 << 20;
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// The most bytes that a server may send between two events, as comments and blank lines.
+const MAX_FILLER_BYTES: usize = 64 << 10;
+/// A stream counts as stalled without an event for the longest of these: a fixed time, and multiples
+/// of the route's targets for the first event and for the gap between events. No caller is expected
+/// to wait longer.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// See [`MIN_STALL_TIMEOUT`].
+const STALL_LATENCY_FACTOR: u32 = 4;
+/// See [`MIN_STALL_TIMEOUT`].
+const STALL_GAP_FACTOR: u32 = 8;
 
 /// A response stream whose first event has arrived.
 pub struct StreamRelay {
@@ -22,7 +34,11 @@
     head: Response<()>,
     exchange: Option<Box<Exchange>>,
     splitter: EventSplitter,
+    /// Counts the bytes in the splitter towards the process's budget.
+    share: ByteShare,
     first: Option<Bytes>,
+    /// Time spent waiting for the server since the last event.
+    waited: Duration,
     history: AttemptHistory,
 }
 
@@ -34,6 +50,8 @@
     last_id: Option<u64>,
     /// Whether the stream was resumed, so that the server may repeat events up to the last one.
     resumed: bool,
+    /// Bytes passed on since the last event.
+    filler_bytes: usize,
 }
 
 impl StreamRelay {
@@ -48,23 +66,66 @@
         let mut head = Response::new(());
         *head.status_mut() = exchange.response.status();
         *head.headers_mut() = exchange.response.headers().clone();
+        let share = exchange.buffers.share();
         let exchange = Some(exchange);
-        let mut relay = Self { call, head, exchange, splitter, first: None, history };
-        relay.first = relay.read_events().await.map_err(|error| error.to_string())?;
+        let waited = Duration::ZERO;
+        let mut relay =
+            Self { call, head, exchange, splitter, share, first: None, waited, history };
+        relay.first = relay.read_first_event().await.map_err(|error| error.to_string())?;
         if let Some(exchange) = &mut relay.exchange {
             exchange.response_started();
         }
         Ok(relay)
     }
 
+    /// The bytes up to the first event, with the comments before it; `None` for a stream without any.
+    async fn read_first_event(&mut self) -> io::Result<Option<Bytes>> {
+        let mut first = BytesMut::new();
+        while let Some(bytes) = self.read_blocks().await? {
+            first.extend_from_slice(&bytes);
+            if self.splitter.filler_bytes == 0 {
+                break;
+            }
+        }
+        Ok((!first.is_empty()).then(|| first.freeze()))
+    }
+
     /// The next whole events; `None` at the end of the stream.
+    ///
+    /// # Errors
+    /// If the stream is interrupted, stalls, or carries too many bytes that are not events.
     async fn read_events(&mut self) -> io::Result<Option<Bytes>> {
+        let stalled = || io::Error::new(io::ErrorKind::TimedOut, "the stream has stalled");
+        let left = self.stall_timeout().saturating_sub(self.waited);
+        let started = Instant::now();
+        let read = tokio::time::timeout(left, self.read_blocks()).await;
+        // Only the time spent waiting for the server counts, not that of a slow caller.
+        self.waited += started.elapsed();
+        if self.splitter.filler_bytes == 0 {
+            self.waited = Duration::ZERO;
+        }
+        read.unwrap_or_else(|_| Err(stalled()))
+    }
+
+    /// How long the stream may be without an event.
+    fn stall_timeout(&self) -> Duration {
+        let route = &self.call.route;
+        let by_latency = route.latency_target * STALL_LATENCY_FACTOR;
+        let by_gap = route.gap_target.unwrap_or_default() * STALL_GAP_FACTOR;
+        MIN_STALL_TIMEOUT.max(by_latency).max(by_gap)
+    }
+
+    /// The next blocks that end with a blank line, events or not; `None` at the end of the stream.
+    async fn read_blocks(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             let Some(exchange) = &mut self.exchange else { return Ok(None) };
             match exchange.response.body_mut().frame().await {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let whole = self.splitter.push(&data)?;
+                    if !self.share.resize(self.splitter.buffer.len()) {
+                        return Err(io::Error::other("too many bytes of responses are held"));
+                    }
                     if let Some(event) = self.splitter.last_id {
                         exchange.recorder.event_received(event);
                     }
@@ -110,7 +171,9 @@
 
     async fn resume(&mut self, error: &io::Error) -> io::Result<()> {
         self.exchange = None;
+        self.waited = Duration::ZERO;
         self.splitter.buffer.clear();
+        self.splitter.filler_bytes = 0;
         self.history.last_failure = Some(error.to_string());
         if !self.call.may_retry(&self.history) {
             return Err(io::Error::other(error.to_string()));
@@ -158,6 +221,7 @@
         }
         let Some(end) = last_event_end(&self.buffer) else { return Ok(Bytes::new()) };
         let whole = self.buffer.split_to(end).freeze();
+        self.count_filler(&whole)?;
         match self.resumed {
             true => Ok(self.unrelayed(whole)),
             false => {
@@ -167,6 +231,19 @@
         }
     }
 
+    /// Counts the bytes since the last event; comments and blank lines are none.
+    fn count_filler(&mut self, whole: &[u8]) -> io::Result<()> {
+        if carries_event(whole) {
+            self.filler_bytes = 0;
+            return Ok(());
+        }
+        self.filler_bytes += whole.len();
+        match self.filler_bytes > MAX_FILLER_BYTES {
+            true => Err(io::Error::other("the stream carries no events")),
+            false => Ok(()),
+        }
+    }
+
     /// Drops the events that the caller has already received.
     fn unrelayed(&mut self, mut whole: Bytes) -> Bytes {
         let mut unrelayed = BytesMut::new();
@@ -209,6 +286,12 @@
     line.ends_with(b"\n")
 }
 
+/// Whether blocks hold more than comments and blank lines.
+fn carries_event(blocks: &[u8]) -> bool {
+    let mut lines = blocks.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 fn blank_line_length(bytes: &[u8]) -> Option<usize> {
     match bytes {
         [b'\n', ..] => Some(1),
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -4,20 +4,17 @@
 use super::{
     AdmissionPermit, Refusal, RefusalCode, Router, ServerCall, Unsent, WorkPermit, WorkTarget,
 };
-use crate::backend::{EngineCall, PooledConnection, SendError};
+use crate::backend::{BackendBody, EngineCall, PooledConnection, REQUEST_ID_HEADER, SendError};
 use crate::control::VersionState;
 use crate::event::Event;
 use crate::name::{OrganisationName, PoolName, VersionKey, VmName};
 use crate::policy::PrefixKeys;
 use crate::vms::Vm;
 use http::{Response, StatusCode, header};
-use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Response header in which the engine echoes the request ID.
-const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Pause before servers that were already tried are tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Upper limit for the `Retry-After` value of an engine that is passed on to callers.
@@ -27,7 +24,7 @@
 
 /// A successful response whose head has arrived; the body is still to be read.
 pub(super) struct StartedResponse {
-    pub response: Response<Incoming>,
+    pub response: Response<BackendBody>,
     pub server: VmName,
     pub call: ServerCall,
     pub connection: PooledConnection,
@@ -204,6 +201,9 @@
             );
         }
         check_head(call, &response)?;
+        if !response.headers().contains_key(REQUEST_ID_HEADER) {
+            connection.set_single_use();
+        }
         Ok(HeadReceived { response, connection, token_deadline })
     }
 
@@ -299,13 +299,13 @@
 
 /// Result of one exchange: a successful response whose head has arrived.
 struct HeadReceived {
-    response: Response<Incoming>,
+    response: Response<BackendBody>,
     connection: PooledConnection,
     token_deadline: Instant,
 }
 
 /// Retry delay that an overloaded server asks for; 1 s if it names none.
-fn retry_after(response: &Response<Incoming>) -> Duration {
+fn retry_after(response: &Response<BackendBody>) -> Duration {
     let value = response.headers().get(header::RETRY_AFTER).and_then(|value| value.to_str().ok());
     let seconds = value.and_then(|text| text.trim().parse().ok()).map(Duration::from_secs);
     seconds.unwrap_or(Duration::from_secs(1)).min(MAX_ENGINE_RETRY_AFTER)
@@ -317,7 +317,7 @@
     status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE
 }
 
-fn check_head(call: &EngineCall, response: &Response<Incoming>) -> Result<(), AttemptError> {
+fn check_head(call: &EngineCall, response: &Response<BackendBody>) -> Result<(), AttemptError> {
     let echoed = response.headers().get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
     if echoed.is_some_and(|id| id != call.request.to_string()) {
         return Err(AttemptError::Retryable(
--- a/src/route/chat.rs
+++ b/src/route/chat.rs
@@ -6,7 +6,7 @@
 use super::request_counter::CountedRequest;
 use super::version_selector::AttemptOutcome;
 use super::{Answer, Ran, Refusal, RefusalCode, Router, Unsent};
-use crate::backend::{ChatCompletion, EngineCall, Usage, estimate_tokens};
+use crate::backend::{BackendBody, ByteShare, ChatCompletion, EngineCall, Usage, estimate_tokens};
 use crate::control::{Config, VersionState};
 use crate::event::Event;
 use crate::ledger::Bill;
@@ -14,8 +14,6 @@
 use crate::policy::{ChooseError, PrefixKeys, ShareDraw, VersionChoice};
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -155,18 +153,19 @@
             let record = |outcome| {
                 self.record_outcome(&meta.organisation, &meta.kind, &call.version, outcome)
             };
-            let reason = match read_body(response, call, attempts.deadline).await {
-                Ok((body, usage)) => {
-                    connection.return_to_pool();
-                    record(AttemptOutcome::Completed(usage, began.elapsed()));
-                    return Ok((body, usage));
-                }
-                Err(AnswerError::Interrupted) => "the response was interrupted".to_owned(),
-                Err(AnswerError::Malformed) => {
-                    record(AttemptOutcome::Malformed);
-                    "the response was malformed".to_owned()
-                }
-            };
+            let reason =
+                match read_body(response, self.buffers.share(), call, attempts.deadline).await {
+                    Ok((body, usage)) => {
+                        connection.return_to_pool();
+                        record(AttemptOutcome::Completed(usage, began.elapsed()));
+                        return Ok((body, usage));
+                    }
+                    Err(AnswerError::Interrupted) => "the response was interrupted".to_owned(),
+                    Err(AnswerError::Malformed) => {
+                        record(AttemptOutcome::Malformed);
+                        "the response was malformed".to_owned()
+                    }
+                };
             active_call.record_failure(&reason);
             self.journal.record(Event::AttemptFailed { request: call.request, server, reason });
         }
@@ -275,16 +274,18 @@
 }
 
 async fn read_body(
-    response: Response<Incoming>,
+    response: Response<BackendBody>,
+    mut share: ByteShare,
     call: &EngineCall,
     deadline: tokio::time::Instant,
 ) -> Result<(Bytes, Usage), AnswerError> {
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-    let read = tokio::time::timeout_at(deadline, body).await;
+    let mut body = response.into_body();
+    let read = tokio::time::timeout_at(deadline, body.read_whole(MAX_ANSWER_BYTES, &mut share));
     let body = read
+        .await
         .map_err(|_| AnswerError::Interrupted)?
-        .map_err(|_| AnswerError::Interrupted)?
-        .to_bytes();
+        .inspect_err(|error| log::warn!("request {}: {error}", call.request))
+        .map_err(|_| AnswerError::Interrupted)?;
     let answer = ChatCompletion::parse(&body).ok_or(AnswerError::Malformed)?;
     let usage = answer.usage().unwrap_or_else(|| estimate_usage(call, &body));
     Ok((body, usage))
--- a/src/route/claimed_call.rs
+++ b/src/route/claimed_call.rs
@@ -109,7 +109,7 @@
                 return self.release_claim(meta, key, refusal).await;
             };
             tried.push(vm.name.clone());
-            if let Ok(answer) = self.attempt_call(request, &vm, &mut unsent_proof, true).await {
+            if let Ok(answer) = self.attempt_call(request, &vm, &mut unsent_proof).await {
                 drop(permit);
                 return self.record_call_outcome(meta, key, service, answer).await;
             }
--- a/src/route/lease.rs
+++ b/src/route/lease.rs
@@ -47,6 +47,27 @@
         }
     }
 
+    /// Installs `config` if it is newer, without renewing the lease; the first one comes with a lease
+    /// that has expired. Returns whether it was installed.
+    pub fn install(&self, config: Arc<Config>) -> bool {
+        let mut state = self.state.write().expect("lease lock");
+        match state.as_mut() {
+            Some(state) if config.revision <= state.config.revision => return false,
+            Some(state) => state.config = config,
+            None => *state = Some(LeaseState { expires_at: Duration::ZERO, config }),
+        }
+        true
+    }
+
+    /// Lets the lease end at `limit`, unless it ends earlier. For a router that knows of a newer
+    /// configuration than the one it has: until it has that one, it may not renew the lease.
+    pub fn limit(&self, limit: Duration) {
+        let mut state = self.state.write().expect("lease lock");
+        if let Some(state) = state.as_mut() {
+            state.expires_at = state.expires_at.min(limit);
+        }
+    }
+
     /// Returns the configuration to work under, or `None` without a valid lease.
     pub fn config(&self) -> Option<Arc<Config>> {
         let state = self.state.read().expect("lease lock");
--- a/src/route/relay.rs
+++ b/src/route/relay.rs
@@ -4,12 +4,13 @@
 use super::version_selector::AttemptOutcome;
 use super::{Answer, Refusal, Router, StreamItem};
 use crate::backend::{
-    ChatStreamParser, EngineCall, ParsedEvents, PooledConnection, Usage, estimate_tokens,
+    BackendBody, ChatStreamParser, EngineCall, ParsedEvents, PooledConnection, Usage,
+    estimate_tokens,
 };
 use crate::event::Event;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,12 @@
 /// How long an engine may take to end its body after the end marker. Otherwise its connection is
 /// closed instead of reused.
 const END_TIMEOUT: Duration = Duration::from_millis(200);
+/// The most bytes of the events that end an answer, which are withheld until it is billed.
+const MAX_WITHHELD_BYTES: usize = 1 << 20;
+/// The most bytes that an engine may send without a token among them.
+const MAX_BYTES_WITHOUT_TOKEN: usize = 256 << 10;
+/// The longest answer that is kept for the rating service.
+const MAX_SAMPLE_BYTES: usize = 4 << 20;
 /// End marker of a complete stream.
 const END_MARKER: &[u8] = b"data: [DONE]\n\n";
 
@@ -114,8 +121,13 @@
     /// Relays one engine's events until its stream completes or fails, or the caller leaves.
     ///
     /// The first token must arrive by `token_deadline`, each later one within `Router::token_gap`.
-    async fn relay_response(&mut self, body: &mut Incoming, token_deadline: Instant) -> RelayEnd {
+    async fn relay_response(
+        &mut self,
+        body: &mut BackendBody,
+        token_deadline: Instant,
+    ) -> RelayEnd {
         let mut events = ChatStreamParser::default();
+        let mut bytes_without_token = 0;
         let mut deadline = token_deadline;
         let mut timeout = pin!(sleep_until(deadline));
         self.withheld.clear();
@@ -131,6 +143,9 @@
                     continue;
                 }
             };
+            if let Some(Ok(frame)) = &frame_result {
+                bytes_without_token += frame.data_ref().map_or(0, Bytes::len);
+            }
             let cut = match parse_frame(&mut events, frame_result) {
                 Ok(cut) => cut,
                 Err(RelayError::Interrupted(reason)) => return RelayEnd::Failed(reason),
@@ -144,10 +159,20 @@
             }
             if cut.tokens > 0 {
                 deadline = Instant::now() + self.router.token_gap;
+                bytes_without_token = 0;
+            }
+            if bytes_without_token > MAX_BYTES_WITHOUT_TOKEN {
+                self.record_outcome(AttemptOutcome::Malformed);
+                return RelayEnd::Failed("the engine sends events without content".to_owned());
             }
             let done = cut.done;
-            if self.forward(cut).await.is_err() {
-                return RelayEnd::CallerLeft;
+            match self.forward(cut).await {
+                Ok(()) => {}
+                Err(ForwardError::CallerLeft) => return RelayEnd::CallerLeft,
+                Err(ForwardError::TooManyFinalEvents) => {
+                    self.record_outcome(AttemptOutcome::Malformed);
+                    return RelayEnd::Failed("the engine sends no end of its answer".to_owned());
+                }
             }
             if done {
                 return RelayEnd::Completed;
@@ -155,17 +180,23 @@
         }
     }
 
-    async fn forward(&mut self, cut: ParsedEvents) -> Result<(), ()> {
+    async fn forward(&mut self, cut: ParsedEvents) -> Result<(), ForwardError> {
         self.relayed += cut.tokens;
         self.usage = cut.usage.or(self.usage);
         self.withheld.extend_from_slice(&cut.final_events);
+        if self.withheld.len() > MAX_WITHHELD_BYTES {
+            return Err(ForwardError::TooManyFinalEvents);
+        }
         if cut.events.is_empty() {
             return Ok(());
         }
+        // An answer that is too long to be rated is still relayed.
+        self.sample.take_if(|sample| sample.len() > MAX_SAMPLE_BYTES);
         if let Some(sample) = &mut self.sample {
             sample.extend_from_slice(&cut.events);
         }
-        self.output.send(StreamItem::Events(cut.events)).await.map_err(|_| ())
+        let sent = self.output.send(StreamItem::Events(cut.events)).await;
+        sent.map_err(|_| ForwardError::CallerLeft)
     }
 
     fn record_outcome(&self, outcome: AttemptOutcome) {
@@ -209,6 +240,12 @@
     }
 }
 
+/// Why events could not be passed on.
+enum ForwardError {
+    CallerLeft,
+    TooManyFinalEvents,
+}
+
 /// Why the rest of an engine's stream cannot be used.
 enum RelayError {
     /// The connection failed; not necessarily a failure of the version.
@@ -234,7 +271,7 @@
 }
 
 /// Returns the connection to the pool if the body ends in time, else closes it.
-async fn return_connection(mut body: Incoming, connection: PooledConnection) {
+async fn return_connection(mut body: BackendBody, connection: PooledConnection) {
     let end = async {
         loop {
             match body.frame().await {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -3,7 +3,7 @@
     Admission, Answer, LedgerClient, Ran, Refusal, RefusalCode, RetryBudgets, RouterLease,
     ServerTracker, Unsent, VersionSelector,
 };
-use crate::backend::{ConnectionPool, LoadedVersions};
+use crate::backend::{ByteBudget, ConnectionPool, LoadedVersions};
 use crate::control::Config;
 use crate::event::{Event, Journal};
 use crate::group::since_start;
@@ -26,6 +26,8 @@
     pub ledger: LedgerClient,
     /// Connection pool for backend servers.
     pub connections: Arc<ConnectionPool>,
+    /// Limits the bytes of answers that are held at the same time.
+    pub buffers: Arc<ByteBudget>,
     /// VMs and their pools, as polled from the VM list.
     pub vms: Arc<VmList>,
     /// Newest load report of each backend server.
--- a/src/route/service_call.rs
+++ b/src/route/service_call.rs
@@ -2,7 +2,7 @@
 use super::request::{RequestMeta, ServiceRequest};
 use super::request_counter::CountedRequest;
 use super::{Answer, BufferedAnswer, Refusal, RefusalCode, Router, Unsent, WorkPermit, WorkTarget};
-use crate::backend::SendError;
+use crate::backend::{REQUEST_ID_HEADER, SendError};
 use crate::control::{RetryPolicy, Service};
 use crate::event::Event;
 use crate::ledger::Bill;
@@ -10,7 +10,7 @@
 use crate::vms::Vm;
 use bytes::Bytes;
 use http::{Request, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -128,7 +128,7 @@
                 break;
             };
             tried.push(vm.name.clone());
-            match self.attempt_call(request, &vm, &mut unsent_proof, false).await {
+            match self.attempt_call(request, &vm, &mut unsent_proof).await {
                 Ok(answer) => return Ok(answer),
                 Err(CallError::NotSent | CallError::MaybeRan) => continue,
             }
@@ -146,12 +146,13 @@
         request: &ServiceRequest,
         vm: &Vm,
         unsent_proof: &mut Option<Unsent>,
-        fresh: bool,
     ) -> Result<BufferedAnswer, CallError> {
         let (id, server) = (request.meta.request, vm.name.clone());
         self.journal.record(Event::AttemptStarted { request: id, server, attempt: 1 });
         let call = self.servers.begin_call(&vm.name);
-        let Ok(mut connection) = self.connections.acquire(vm.address, fresh).await else {
+        // A service need not name the request in its response, so each call has a connection of its
+        // own: a late response to an earlier one cannot be taken for its response.
+        let Ok(mut connection) = self.connections.acquire(vm.address, true).await else {
             call.record_failure("could not connect");
             return Err(CallError::NotSent);
         };
@@ -165,9 +166,14 @@
         let taken = unsent_proof.take();
         let work = async {
             let response = connection.send(to_http(request)).await?;
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|e| SendError::MaybeSent(e.to_string()))?.to_bytes();
+            let (head, mut body) = response.into_parts();
+            let echoed = head.headers.get(REQUEST_ID_HEADER).and_then(|id| id.to_str().ok());
+            if echoed.is_some_and(|echoed| echoed != id.to_string()) {
+                let text = "the response carries the ID of another request".to_owned();
+                return Err(SendError::MaybeSent(text));
+            }
+            let body = body.read_whole(MAX_ANSWER_BYTES, &mut self.buffers.share()).await;
+            let body = body.map_err(|error| SendError::MaybeSent(error.to_string()))?;
             let content_type = head.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
             let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
             Ok(BufferedAnswer { status: head.status.as_u16(), content_type, body })
--- a/tests/env/scripted.rs
+++ b/tests/env/scripted.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -14,6 +15,13 @@
     Stall,
     /// Reads the next request.
     KeepOpen,
+    /// Sends the same text again and again until the connection is closed.
+    Endless(&'static str),
+    /// The same with a pause after each time.
+    Trickle(&'static str, Duration),
+    /// Keeps the connection open and sends the text again after a pause, then reads the next
+    /// request.
+    Late(Duration, &'static str),
 }
 
 /// The response to every request.
@@ -87,6 +95,23 @@
             AfterResponse::Close => return,
             AfterResponse::Stall => std::future::pending().await,
             AfterResponse::KeepOpen => {}
+            AfterResponse::Endless(text) => {
+                let block = text.repeat((64 << 10) / text.len());
+                while stream.write_all(block.as_bytes()).await.is_ok() {}
+                return;
+            }
+            AfterResponse::Trickle(text, pause) => {
+                while stream.write_all(text.as_bytes()).await.is_ok() {
+                    tokio::time::sleep(pause).await;
+                }
+                return;
+            }
+            AfterResponse::Late(pause, text) => {
+                tokio::time::sleep(pause).await;
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
         }
     }
 }
