--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -2,8 +2,9 @@
 //! in docs/CAPACITY.md are derived from the results.
 //!
 //! `cargo run --example slopes -- MODE SIZE...` with one of the modes `daemons`, `replicas`,
-//! `tickets`, `requests`, `tokens`, `state`, `events`.
+//! `tickets`, `requests`, `tokens`, `state`, `events`, `distribution`.
 
+mod distribution;
 #[path = "../../tests/env/mod.rs"]
 mod env;
 mod events;
@@ -30,6 +31,7 @@
         "requests" => fleet::requests(&sizes).await,
         "tokens" => fleet::tokens(&sizes).await,
         "state" => state::run(largest.unwrap_or(first)),
+        "distribution" => distribution::run(&sizes),
         "events" => events::run(largest.unwrap_or(first)),
         _ => return usage(),
     }
@@ -37,6 +39,8 @@
 }
 
 fn usage() -> ExitCode {
-    eprintln!("usage: slopes daemons|replicas|tickets|requests|tokens|state|events SIZE...");
+    eprintln!(
+        "usage: slopes daemons|replicas|tickets|requests|tokens|state|events|distribution SIZE..."
+    );
     ExitCode::from(2)
 }
--- a/src/control/route_table.rs
+++ b/src/control/route_table.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// The complete configuration of routes, which an operator replaces as a whole.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -10,7 +11,7 @@
     /// The number that the operator chose; only a table with a higher number replaces this one.
     pub number: u64,
     /// The configured routes.
-    pub routes: Vec<ConfiguredRoute>,
+    pub routes: Vec<Arc<ConfiguredRoute>>,
     /// The pools of backend servers that the routes refer to.
     pub pools: Vec<PoolSpec>,
     /// Size and time limits for requests.
--- a/src/daemon/leader_leases.rs
+++ b/src/daemon/leader_leases.rs
@@ -4,10 +4,12 @@
 //! one.
 
 use super::Node;
-use crate::control::{LeaseTable, RouterId};
+use crate::control::{Config, LeaseTable, RouterId};
 use crate::group::since_start;
 use crate::name::VmName;
 use crate::peer::{LeaseRequest, LeaseResponse, PoolUpdate};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Interval at which a wait for a revision to be in force checks the leases again.
@@ -33,7 +35,7 @@
         // not see this lease has already been answered, so the configuration read here includes
         // that revision. Leadership is checked last, so the configuration was current at that time.
         let recorded = self.record_lease(&request);
-        let config = self.read_control(|state| state.config().clone());
+        let config = self.published_config();
         if !recorded || !self.cluster.control().may_serve_reads() {
             return LeaseResponse::NotLeader {
                 leader: self.leader(),
@@ -53,10 +55,22 @@
         }
     }
 
+    /// The current configuration as routers hold it.
+    fn published_config(&self) -> Arc<Config> {
+        let config = self.read_control(|state| state.config().clone());
+        self.publisher.publish_config(&config);
+        self.publisher.whole_config()
+    }
+
     /// Records the router's revision and lease; false if this daemon may not grant leases.
     fn record_lease(&self, request: &LeaseRequest) -> bool {
-        self.with_leases(|table, now| table.grant(now, request.router.clone(), request.revision))
-            .is_some()
+        self.record_grant(&request.router, request.revision)
+    }
+
+    /// Records that a router uses a revision and gets a lease; false if this daemon may not grant
+    /// leases.
+    pub(super) fn record_grant(&self, router: &RouterId, revision: u64) -> bool {
+        self.with_leases(|table, now| table.grant(now, router.clone(), revision)).is_some()
     }
 
     /// Waits for a newer configuration or VM list, at most for the renewal interval of leases.
@@ -85,17 +99,25 @@
         let report = request.pool_report.as_ref()?;
         let term = self.cluster.control().status().term;
         self.pools.record_report(term, &request.router, &report.tallies);
-        let members = self.cluster.control().status().members;
-        let voters = members.voters.iter().map(|member| member.address).collect();
-        let live = self.with_leases(|table, now| table.live(now).count());
-        let router_count = live.unwrap_or_default() as u32;
         Some(PoolUpdate {
             vm_list: self.pools.changed_list(report.list_digest),
-            voters,
-            router_count,
+            voters: self.voter_addresses(),
+            router_count: self.live_router_count(),
         })
     }
 
+    /// Addresses on which the control group's voters accept connections from peers.
+    pub(super) fn voter_addresses(&self) -> Vec<SocketAddr> {
+        let members = self.cluster.control().status().members;
+        members.voters.iter().map(|member| member.address).collect()
+    }
+
+    /// Number of routers with a live lease; 0 if this daemon does not lead.
+    pub(super) fn live_router_count(&self) -> u32 {
+        let live = self.with_leases(|table, now| table.live(now).count());
+        live.unwrap_or_default() as u32
+    }
+
     /// Waits up to `wait` until a revision is in force on all routers. Returns whether it is and
     /// the VMs of the routers that lag behind, or `None` if this daemon does not lead.
     pub async fn await_in_force(
--- a/src/daemon/leader_pools.rs
+++ b/src/daemon/leader_pools.rs
@@ -1,10 +1,15 @@
 //! VM list and pool statistics that the leader of the control group keeps for daemons of role
 //! router.
+//!
+//! The VM list is the platform's, corrected by what routers have seen: a server that told one of
+//! them that it is leaving counts as leaving for all.
 
 use crate::control::RouterId;
+use crate::group::since_start;
+use crate::name::VmName;
 use crate::peer::PoolReport;
 use crate::policy::Tally;
-use crate::vms::VmSnapshot;
+use crate::vms::{LeavingMarks, Vm, VmSnapshot};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
@@ -14,9 +19,17 @@
 pub struct LeaderPools {
     /// The VM list as last fetched; `None` if this daemon does not lead or has not fetched it yet.
     pub vm_list: watch::Sender<Option<Arc<VmSnapshot>>>,
+    fetched: Mutex<Option<FetchedList>>,
     reports: Mutex<TermReports>,
 }
 
+/// The VM list as the platform last gave it.
+#[derive(Debug)]
+struct FetchedList {
+    vms: Vec<Vm>,
+    marks: LeavingMarks,
+}
+
 /// The latest report of each router in one term.
 #[derive(Debug, Default)]
 struct TermReports {
@@ -26,7 +39,11 @@
 
 impl Default for LeaderPools {
     fn default() -> Self {
-        Self { vm_list: watch::Sender::new(None), reports: Mutex::default() }
+        Self {
+            vm_list: watch::Sender::new(None),
+            fetched: Mutex::default(),
+            reports: Mutex::default(),
+        }
     }
 }
 
@@ -41,6 +58,55 @@
         self.vm_list.borrow().clone().filter(|vm_list| vm_list.digest != digest)
     }
 
+    /// Stores the VM list as fetched from the platform. Call `Node::install_vm_list` afterwards.
+    pub fn record_fetched(&self, vms: Vec<Vm>) {
+        let mut fetched = self.fetched.lock().expect("fetched list lock");
+        let marks = fetched.take().map(|fetched| fetched.marks).unwrap_or_default();
+        *fetched = Some(FetchedList { vms, marks });
+    }
+
+    /// Marks servers that a router has seen leaving. Without a fetched list there is nothing to
+    /// mark; the router reports them again.
+    pub fn mark_leaving(&self, servers: &[VmName], reporter: &VmName) {
+        let mut fetched = self.fetched.lock().expect("fetched list lock");
+        let Some(fetched) = fetched.as_mut() else { return };
+        for server in servers {
+            if fetched.marks.add(server, since_start()) {
+                log::info!("server {server} is leaving, as it told router {reporter}");
+            }
+        }
+    }
+
+    /// The fetched list with the marks applied; `None` before the first fetch as leader.
+    pub fn current_list(&self) -> Option<VmSnapshot> {
+        let mut fetched = self.fetched.lock().expect("fetched list lock");
+        let fetched = fetched.as_mut()?;
+        let mut vms = fetched.vms.clone();
+        fetched.marks.apply(&mut vms, since_start());
+        Some(VmSnapshot::new(vms))
+    }
+
+    /// Makes a list the current one, which wakes the routers that wait for a change.
+    pub fn install(&self, snapshot: VmSnapshot) {
+        let (digest, count) = (snapshot.digest, snapshot.vms.len());
+        let changed = self.vm_list.send_if_modified(|current| {
+            let changed = current.as_ref().is_none_or(|current| current.digest != digest);
+            if changed {
+                *current = Some(Arc::new(snapshot));
+            }
+            changed
+        });
+        if changed {
+            log::info!("the VM list has changed: {count} VMs");
+        }
+    }
+
+    /// Forgets the VM list, as this daemon no longer leads.
+    pub fn forget_list(&self) {
+        *self.fetched.lock().expect("fetched list lock") = None;
+        self.vm_list.send_if_modified(|current| current.take().is_some());
+    }
+
     /// Stores a router's report. Routers count from their own start, so the latest report replaces
     /// all earlier ones. A new term discards the reports of the previous term.
     pub fn record_report(&self, term: u64, router: &RouterId, tallies: &[Tally]) {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod peer_server;
 mod pool_rollouts;
+mod renewals;
 mod rollouts;
 mod router_reports;
 mod start;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,6 +1,7 @@
 use super::leader_leases::LeaderLeases;
 use super::leader_pools::LeaderPools;
 use crate::consensus::{Member, Members};
+use crate::distribution::Publisher;
 use crate::error::Error;
 use crate::event::{Event, Journal};
 use crate::group::{Group, GroupId, GroupStatus, ReplicatedState};
@@ -32,6 +33,8 @@
     pub aggregator: Mutex<Option<StatsAggregator>>,
     /// VM list and pool statistics that the leader keeps for daemons of role router.
     pub pools: LeaderPools,
+    /// The configuration and the VM list as distributed to routers.
+    pub publisher: Publisher,
     /// Renders the metrics of this process.
     pub metrics: PrometheusHandle,
     /// Notified when an operator drains this daemon.
--- a/src/daemon/operator_requests.rs
+++ b/src/daemon/operator_requests.rs
@@ -161,10 +161,22 @@
         if self.is_forming() {
             return OperatorResponse::TooFewVoters;
         }
+        let started = Instant::now();
+        let what = describe(&command);
         let bytes = postcard::to_stdvec(&command).expect("commands always serialise");
-        match self.cluster.control().submit(bytes.into()).await {
-            Ok(_) => OperatorResponse::Committed,
-            Err(_) => OperatorResponse::OutcomeUnknown,
+        let size = bytes.len();
+        let submitted = self.cluster.control().submit(bytes.into()).await;
+        let took_ms = started.elapsed().as_millis();
+        let revision = self.read_control(|state| state.config().revision);
+        match submitted {
+            Ok(_) => {
+                log::info!("{what} committed in {took_ms} ms, {size} bytes; revision {revision}");
+                OperatorResponse::Committed
+            }
+            Err(error) => {
+                log::warn!("{what} not known to be committed after {took_ms} ms: {error}");
+                OperatorResponse::OutcomeUnknown
+            }
         }
     }
 
@@ -245,6 +257,19 @@
     }
 }
 
+/// What a command does, for logs.
+fn describe(command: &ControlCommand) -> String {
+    match command {
+        ControlCommand::ReplaceRouteTable(table) => {
+            format!("route table {} with {} routes", table.number, table.routes.len())
+        }
+        ControlCommand::StartPoolRollout(rollout) => {
+            format!("roll-out of pool {} to {}", rollout.pool, rollout.target)
+        }
+        _ => "a change".to_owned(),
+    }
+}
+
 /// How long the leader may wait before it answers a request.
 fn leader_wait(request: &OperatorRequest) -> Duration {
     match request {
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -5,7 +5,7 @@
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
     EventResponse, LeaseRequest, LeaseResponse, NodeStatus, OperatorRequest, OperatorResponse,
-    Peer, PeerIdentity, PostcardCodec, SubmitResponse, accept,
+    Peer, PeerIdentity, PostcardCodec, RenewRequest, RenewResponse, SubmitResponse, accept,
 };
 use bytes::Bytes;
 use futures::StreamExt;
@@ -53,6 +53,13 @@
         self.0.grant_lease(request).await
     }
 
+    async fn renew(self, _: Context, request: RenewRequest) -> RenewResponse {
+        if !self.0.cluster.control().status().leading {
+            return RenewResponse::NotLeader { address: self.0.leader_address() };
+        }
+        self.0.renew(request).await
+    }
+
     async fn operate(self, _: Context, request: OperatorRequest) -> OperatorResponse {
         if !self.0.cluster.control().status().leading {
             return OperatorResponse::NotLeader { leader: self.0.leader() };
--- /dev/null
+++ b/src/daemon/renewals.rs
@@ -0,0 +1,95 @@
+//! The leader's answers to lease renewals of routing-only daemons, with the state that they lack.
+
+use super::Node;
+use crate::control::Config;
+use crate::peer::{RenewRequest, RenewResponse};
+use std::sync::Arc;
+use std::time::Instant;
+
+impl Node {
+    /// Renews a router's lease and sends the next part of the configuration and the VM list that it
+    /// lacks. A router that has all of both gets its response when there is something new, or after
+    /// its renewal interval.
+    pub async fn renew(&self, request: RenewRequest) -> RenewResponse {
+        self.journal.observe(request.stamp);
+        self.record_grant(&request.router, request.revision);
+        let term = self.cluster.control().status().term;
+        self.pools.record_report(term, &request.router, &request.tallies);
+        self.mark_leaving(&request);
+        if request.wait {
+            self.wait_for_news(&request).await;
+        }
+        // As in `grant_lease`: the lease is recorded before the configuration is read, and
+        // leadership is checked last.
+        let recorded = self.record_grant(&request.router, request.revision);
+        let config = self.publish_current();
+        if !recorded || !self.cluster.control().may_serve_reads() {
+            return RenewResponse::NotLeader { address: self.leader_address() };
+        }
+        let has_list = self.pools.vm_list.borrow().is_some();
+        RenewResponse::Renewed {
+            revision: config.revision,
+            config: self.publisher.read_config(&request.config),
+            vms: self.publisher.read_vms(&request.vms).filter(|_| has_list),
+            stamp: self.journal.timestamp(),
+            voters: self.voter_addresses(),
+            router_count: self.live_router_count(),
+        }
+    }
+
+    /// Publishes the current configuration and returns it.
+    fn publish_current(&self) -> Arc<Config> {
+        let config = self.read_control(|state| state.config().clone());
+        self.publisher.publish_config(&config);
+        config
+    }
+
+    /// Waits for a newer configuration or VM list, at most for the renewal interval of leases.
+    async fn wait_for_news(&self, request: &RenewRequest) {
+        let mut applied = self.cluster.control().applied();
+        let mut vm_list = self.pools.vm_list.subscribe();
+        let deadline = Instant::now() + self.settings.renewal_interval;
+        while !self.has_news(request) {
+            let changed = async {
+                tokio::select! {
+                    changed = applied.changed() => changed.is_ok(),
+                    changed = vm_list.changed() => changed.is_ok(),
+                }
+            };
+            if !matches!(tokio::time::timeout_at(deadline.into(), changed).await, Ok(true)) {
+                return;
+            }
+        }
+    }
+
+    fn has_news(&self, request: &RenewRequest) -> bool {
+        let revision = self.read_control(|state| state.config().revision);
+        let has_list = self.pools.vm_list.borrow().is_some();
+        revision > request.revision || (has_list && self.publisher.vms_digest() != request.vms.base)
+    }
+
+    /// Takes the servers that a router has seen leaving off the VM list of all routers.
+    fn mark_leaving(&self, request: &RenewRequest) {
+        if !request.leaving.is_empty() && self.cluster.control().status().leading {
+            self.pools.mark_leaving(&request.leaving, &request.router.vm);
+            self.install_vm_list();
+        }
+    }
+
+    /// Publishes the VM list as last fetched, without the servers that are known to be leaving.
+    pub(super) fn install_vm_list(&self) {
+        if let Some(snapshot) = self.pools.current_list() {
+            self.publisher.publish_vms(&snapshot.vms);
+            self.pools.install(snapshot);
+        }
+    }
+}
+
+/// Publishes each configuration as soon as it is committed, on every voter: a new leader then has
+/// the changes since the one that routers got from its predecessor.
+pub async fn publish_changes(node: Arc<Node>) {
+    let mut applied = node.cluster.control().applied();
+    while applied.changed().await.is_ok() {
+        node.publish_current();
+    }
+}
--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -6,8 +6,10 @@
 use super::membership::maintain_members;
 use super::peer_server::serve_peers;
 use super::pool_rollouts::manage_pool_rollouts;
+use super::renewals::publish_changes;
 use super::start::{bind, bind_error, open_groups};
 use crate::consensus::Members;
+use crate::distribution::Publisher;
 use crate::error::Error;
 use crate::event::{Event, Journal, run_log_loop};
 use crate::operator::{OperatorFormat, serve_with_format};
@@ -16,7 +18,7 @@
 use crate::signals::Signals;
 use crate::status_server::{install_metrics, metrics_response, serve_status};
 use crate::storage::DataFolder;
-use crate::vms::{VmSnapshot, VmSource};
+use crate::vms::VmSource;
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -60,6 +62,7 @@
     tokio::spawn(maintain_members(node.clone()));
     tokio::spawn(refresh_vm_list(node.clone(), source));
     tokio::spawn(manage_pool_rollouts(node.clone()));
+    tokio::spawn(publish_changes(node.clone()));
     tokio::spawn(run_log_loop(node.journal.clone()));
     tokio::spawn(serve_with_format(node.clone(), format, operators));
     run_until_stopped(&node, signals).await;
@@ -90,6 +93,7 @@
         leases: Mutex::new(None),
         aggregator: Mutex::new(None),
         pools: LeaderPools::default(),
+        publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
     }))
@@ -122,7 +126,10 @@
     loop {
         if control.status().leading && control.may_serve_reads() {
             match tokio::time::timeout(VM_LIST_TIMEOUT, source.fetch()).await {
-                Ok(Ok(vms)) => install_vm_list(&node, VmSnapshot::new(vms)),
+                Ok(Ok(vms)) => {
+                    node.pools.record_fetched(vms);
+                    node.install_vm_list();
+                }
                 Ok(Err(error)) => log::warn!("{error}; the previous VM list stays in use"),
                 Err(_) => {
                     log::warn!("fetching the VM list timed out; the previous one stays in use")
@@ -130,7 +137,7 @@
             }
             tokio::time::sleep(node.settings.poll_interval).await;
         } else {
-            node.pools.vm_list.send_if_modified(|current| current.take().is_some());
+            node.pools.forget_list();
             // The first entry of a new leader ends the wait early, because routers cannot serve
             // without the list. `changed` cannot fail: the group's thread lives as long as this
             // daemon.
@@ -139,20 +146,6 @@
     }
 }
 
-fn install_vm_list(node: &Node, snapshot: VmSnapshot) {
-    let (digest, count) = (snapshot.digest, snapshot.vms.len());
-    let changed = node.pools.vm_list.send_if_modified(|current| {
-        let changed = current.as_ref().is_none_or(|current| current.digest != digest);
-        if changed {
-            *current = Some(Arc::new(snapshot));
-        }
-        changed
-    });
-    if changed {
-        log::info!("the VM list has changed: {count} VMs");
-    }
-}
-
 async fn run_until_stopped(node: &Node, signals: Signals) {
     tokio::select! {
         () = signals.wait_for_stop() => {}
--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -17,6 +17,14 @@
     /// No server of the pool can take the call now.
     #[error("no server of pool {0} can take the call now; retry later")]
     NoServer(String),
+    /// Every server of the pool has asked to be sent nothing for some time.
+    #[error("every server of pool {pool} has asked for a pause; retry in {} ms", wait.as_millis())]
+    ServersHeld {
+        /// The pool.
+        pool: String,
+        /// The time until the first of them takes calls again.
+        wait: Duration,
+    },
     /// Every server that was tried stated that it did not run the call.
     #[error("every server that was tried is full; retry later")]
     ServersFull,
@@ -53,9 +61,10 @@
             GatewayError::NoLease | GatewayError::Starting | GatewayError::Stopping => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            GatewayError::NoServer(_) | GatewayError::ServersFull | GatewayError::NotSentInTime => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            GatewayError::NoServer(_)
+            | GatewayError::ServersHeld { .. }
+            | GatewayError::ServersFull
+            | GatewayError::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             GatewayError::NoRoute(_) => StatusCode::NOT_FOUND,
             GatewayError::InvalidKey => StatusCode::UNAUTHORIZED,
             GatewayError::Malformed(_) => StatusCode::BAD_REQUEST,
@@ -73,6 +82,7 @@
             GatewayError::NoServer(_) | GatewayError::ServersFull => {
                 Some(Duration::from_millis(400))
             }
+            GatewayError::ServersHeld { wait, .. } => Some(*wait),
             GatewayError::Starting => Some(Duration::from_secs(1)),
             _ => None,
         }
@@ -85,6 +95,7 @@
             GatewayError::Starting => "starting",
             GatewayError::Stopping => "stopping",
             GatewayError::NoServer(_) => "no_server",
+            GatewayError::ServersHeld { .. } => "held",
             GatewayError::ServersFull => "full",
             GatewayError::NotSentInTime => "late",
             GatewayError::NoRoute(_) => "no_route",
--- a/src/gateway/header_format.rs
+++ b/src/gateway/header_format.rs
@@ -87,6 +87,10 @@
     pub confidence: Option<u8>,
     /// How long the server keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// Whether the server says that it is leaving.
+    pub leaving: bool,
+    /// How long the server, as it declines the request, wants to be sent nothing.
+    pub retry_after: Option<Duration>,
 }
 
 /// A server's load as reported in a response.
--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -1,170 +1,280 @@
 //! Keeps this router's lease alive; its configuration and VM list arrive with the renewals.
 
 use super::Gateway;
-use crate::control::{PoolRolloutStatus, RouterId};
+use super::voters::Voters;
+use crate::control::{Config, PoolRolloutStatus, RouterId};
+use crate::distribution::{Chunk, ReceiveError, RouterState};
 use crate::event::Event;
 use crate::group::since_start;
 use crate::peer::{
-    LeaseRequest, LeaseResponse, PeerClient, PeerIdentity, PoolReport, PoolUpdate, dial,
+    LeaseRequest, LeaseResponse, PeerClient, PeerIdentity, PoolReport, PoolUpdate, ProtocolVersion,
+    RenewRequest, RenewResponse, dial,
 };
-use crate::policy::Epoch;
+use crate::policy::{Epoch, Tally};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use tarpc::client::RpcError;
 use tarpc::context;
 
 /// Time allowed for a response on top of `renew`, for which the leader may hold the request.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 /// Time limit for connecting to a voter.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a voter is skipped after a failure, if there are others.
-const FAILED_VOTER_COOLDOWN: Duration = Duration::from_millis(1_500);
 /// Delay after a request that did not renew the lease.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Delay after a transfer that could not be used.
+const TRANSFER_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// The known voters, and the connection to the current leader.
-struct Voters {
-    seeds: Vec<SocketAddr>,
-    known: Vec<SocketAddr>,
-    leader_hint: Option<SocketAddr>,
-    /// The voter that failed last, and when.
-    last_failed: Option<(SocketAddr, Instant)>,
-    connection: Option<(SocketAddr, PeerClient)>,
-    rotation: usize,
-}
-
-impl Voters {
-    /// The next voter to ask: the one reported as leader, otherwise each in turn.
-    fn next_address(&mut self) -> Option<SocketAddr> {
-        if let Some(leader_hint) =
-            self.leader_hint.take().filter(|leader_hint| !self.failed_recently(*leader_hint))
-        {
-            return Some(leader_hint);
-        }
-        let mut all = self.known.clone();
-        all.extend(self.seeds.iter().filter(|seed| !self.known.contains(seed)));
-        if all.len() > 1 {
-            all.retain(|address| !self.failed_recently(*address));
-        }
-        self.rotation += 1;
-        all.get(self.rotation % all.len().max(1)).copied()
-    }
-
-    /// Whether a voter failed recently. Other voters may still report it as the leader.
-    fn failed_recently(&self, address: SocketAddr) -> bool {
-        self.last_failed.is_some_and(|(last_failed, at)| {
-            last_failed == address && at.elapsed() < FAILED_VOTER_COOLDOWN
-        })
-    }
-
-    /// Records that the connection to a voter failed, and drops it.
-    fn mark_failed(&mut self, address: SocketAddr) {
-        self.last_failed = Some((address, Instant::now()));
-        self.connection = None;
-    }
+/// The state of the loop.
+struct LeaseLoop {
+    gateway: Arc<Gateway>,
+    identity: PeerIdentity,
+    voters: Voters,
+    state: RouterState,
+    /// The digest of the VM list as received from a leader that sends no changes; 0 without one.
+    list_digest: u64,
+    /// When this router learned of a configuration that it does not have yet.
+    outdated_since: Option<Duration>,
+    had_lease: bool,
 }
 
 /// Renews the lease in an endless loop.
 pub async fn keep_lease(gateway: Arc<Gateway>, identity: PeerIdentity) {
     let port = identity.address.port();
     let seeds = gateway.settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
-    let mut voters = Voters {
-        seeds: seeds.collect(),
-        known: Vec::new(),
-        leader_hint: None,
-        last_failed: None,
-        connection: None,
-        rotation: 0,
+    let mut lease_loop = LeaseLoop {
+        voters: Voters::new(seeds.collect()),
+        gateway,
+        identity,
+        state: RouterState::default(),
+        list_digest: 0,
+        outdated_since: None,
+        had_lease: false,
     };
-    let mut had_lease = false;
     loop {
-        let renewed = renew(&gateway, &identity, &mut voters).await;
-        had_lease = record_lease_change(&gateway, had_lease);
-        gateway.update_started();
+        let renewed = lease_loop.renew().await;
+        lease_loop.record_lease_change();
+        lease_loop.gateway.update_started();
         if !renewed {
-            voters.connection = None;
+            lease_loop.voters.connection = None;
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 }
 
-async fn renew(gateway: &Gateway, identity: &PeerIdentity, voters: &mut Voters) -> bool {
-    if voters.connection.is_none() {
-        let Some(address) = voters.next_address() else { return false };
-        let secret = &gateway.settings.cluster_secret;
-        let dialed = dial(address, secret, identity, &gateway.journal);
-        let Ok(Some((client, _))) = tokio::time::timeout(CONNECT_TIMEOUT, dialed).await else {
-            voters.mark_failed(address);
+impl LeaseLoop {
+    /// Sends one request to a voter. Returns whether it renewed the lease.
+    async fn renew(&mut self) -> bool {
+        if self.voters.connection.is_none() && !self.connect().await {
             return false;
+        }
+        let Some((address, peer)) = self.voters.connection.clone() else { return false };
+        let renewed = match peer.version >= ProtocolVersion::STATE_CHANGES {
+            true => self.renew_with_changes(address, &peer.client).await,
+            false => self.renew_with_whole_state(address, &peer.client).await,
         };
-        voters.connection = Some((address, client));
-    }
-    let Some((address, client)) = voters.connection.clone() else { return false };
-    let requested_at = since_start();
-    let mut context = context::current();
-    context.deadline = Instant::now() + gateway.settings.renewal_interval + RESPONSE_MARGIN;
-    match client.lease(context, lease_request(gateway, identity)).await {
-        Ok(LeaseResponse::Granted { config, pool_update, .. }) => {
-            if let Some(pool_update) = pool_update {
-                apply_update(gateway, voters, pool_update);
+        renewed.unwrap_or_else(|error| {
+            log::info!("lease request to voter {address} failed: {error}");
+            self.voters.mark_failed(address);
+            false
+        })
+    }
+
+    async fn connect(&mut self) -> bool {
+        let Some(address) = self.voters.next_address() else { return false };
+        let secret = &self.gateway.settings.cluster_secret;
+        let dialed = dial(address, secret, &self.identity, &self.gateway.journal);
+        match tokio::time::timeout(CONNECT_TIMEOUT, dialed).await {
+            Ok(Some(dialed)) => {
+                self.voters.connection = Some((address, dialed));
+                true
             }
-            if gateway.lease.renew(requested_at, gateway.settings.lease_duration, config) {
-                let revision = gateway.lease.revision().unwrap_or(0);
-                gateway.journal.record(Event::RevisionInstalled { revision });
+            _ => {
+                self.voters.mark_failed(address);
+                false
             }
-            true
         }
-        Ok(LeaseResponse::NotLeader { address: leader_hint, .. }) => {
-            voters.leader_hint = leader_hint.filter(|leader_hint| *leader_hint != address);
-            false
+    }
+
+    /// Renews the lease and reads on in the leader's log of changes.
+    async fn renew_with_changes(
+        &mut self,
+        address: SocketAddr,
+        client: &PeerClient,
+    ) -> Result<bool, RpcError> {
+        let requested_at = since_start();
+        let response = client.renew(self.context(), self.renew_request()).await?;
+        match response {
+            RenewResponse::NotLeader { address: leader } => {
+                self.voters.leader_hint = leader.filter(|leader| *leader != address);
+                Ok(false)
+            }
+            RenewResponse::Renewed { revision, config, vms, stamp, voters, router_count } => {
+                self.gateway.journal.observe(stamp);
+                self.update_fleet(voters, router_count);
+                let received = self.receive(config, vms);
+                self.use_lease(requested_at, revision);
+                if let Err(error) = received {
+                    log::warn!(
+                        "cannot use the state from voter {address}: {error}; reading it anew"
+                    );
+                    tokio::time::sleep(TRANSFER_RETRY_DELAY).await;
+                }
+                Ok(true)
+            }
         }
-        Err(error) => {
-            log::info!("lease request to voter {address} failed: {error}");
-            voters.mark_failed(address);
-            false
+    }
+
+    fn renew_request(&self) -> RenewRequest {
+        RenewRequest {
+            router: self.router_id(),
+            revision: self.gateway.lease.revision().unwrap_or(0),
+            config: self.state.config_position(),
+            vms: self.state.vms_position(),
+            wait: !self.state.is_receiving(),
+            stamp: self.gateway.journal.timestamp(),
+            tallies: self.tallies(),
+            leaving: self.gateway.servers.leaving(),
         }
     }
-}
 
-fn lease_request(gateway: &Gateway, identity: &PeerIdentity) -> LeaseRequest {
-    let config = gateway.lease.config();
-    let is_running = |pool: &_| {
-        let rollout = config.as_ref().and_then(|config| config.pool_rollouts.get(pool));
-        rollout.is_some_and(|rollout| rollout.status == PoolRolloutStatus::Running)
-    };
-    let tallies = gateway.tallies.of_pools(is_running);
-    let report = PoolReport { list_digest: gateway.servers.digest(), tallies };
-    LeaseRequest {
-        router: RouterId { vm: identity.vm.clone(), run: identity.run },
-        revision: gateway.lease.revision().unwrap_or(0),
-        stamp: gateway.journal.timestamp(),
-        report: None,
-        epoch: Epoch::default(),
-        pool_report: Some(report),
+    /// Takes in what the leader sent of its state.
+    fn receive(&mut self, config: Option<Chunk>, vms: Option<Chunk>) -> Result<(), ReceiveError> {
+        let config = self.state.receive_config(config.as_ref())?;
+        if let Some(config) = config {
+            self.gateway.prepare(&config);
+            self.install(config);
+        }
+        if let Some(vms) = self.state.receive_vms(vms.as_ref())? {
+            self.list_digest = 0;
+            self.gateway.servers.replace_list(&vms);
+            log::info!("the VM list has changed: {} live VMs", vms.len());
+        }
+        Ok(())
     }
-}
 
-fn apply_update(gateway: &Gateway, voters: &mut Voters, update: PoolUpdate) {
-    if let Some(vm_list) = &update.vm_list {
-        gateway.servers.replace_list(vm_list.digest, &vm_list.vms);
-        log::info!("the VM list has changed: {} VMs", vm_list.vms.len());
+    /// Installs a configuration without extending the lease, except for the first one.
+    fn install(&self, config: Arc<Config>) {
+        let revision = config.revision;
+        if self.gateway.lease.install(config) {
+            self.gateway.journal.record(Event::RevisionInstalled { revision });
+        }
     }
-    if !update.voters.is_empty() {
-        voters.known = update.voters;
+
+    /// Extends the lease if this router has the newest revision. Otherwise the lease ends soon,
+    /// unless that revision arrives before.
+    fn use_lease(&mut self, requested_at: Duration, newest: u64) {
+        let lease = &self.gateway.lease;
+        let Some(revision) = lease.revision() else { return };
+        if revision >= newest {
+            self.outdated_since = None;
+            lease.renew(requested_at, self.gateway.settings.lease_duration, None);
+            return;
+        }
+        let since = *self.outdated_since.get_or_insert_with(since_start);
+        let limit = since + self.gateway.settings.fleet_limits.outdated_limit();
+        lease.limit(limit);
+        if since_start() >= limit {
+            log::warn!(
+                "revision {newest} of the configuration has not arrived in time; \
+                 calls are refused under revision {revision}"
+            );
+        }
+    }
+
+    /// Renews the lease at a leader that sends the whole configuration with the lease.
+    async fn renew_with_whole_state(
+        &mut self,
+        address: SocketAddr,
+        client: &PeerClient,
+    ) -> Result<bool, RpcError> {
+        let requested_at = since_start();
+        let response = client.lease(self.context(), self.lease_request()).await?;
+        match response {
+            LeaseResponse::NotLeader { address: leader, .. } => {
+                self.voters.leader_hint = leader.filter(|leader| *leader != address);
+                Ok(false)
+            }
+            LeaseResponse::Granted { config, pool_update, .. } => {
+                if let Some(update) = pool_update {
+                    self.apply_update(update);
+                }
+                if let Some(config) = config {
+                    let config = Arc::new(self.state.replace_config(&config));
+                    self.gateway.prepare(&config);
+                    self.install(config);
+                }
+                self.outdated_since = None;
+                self.gateway.lease.renew(requested_at, self.gateway.settings.lease_duration, None);
+                Ok(true)
+            }
+        }
+    }
+
+    fn lease_request(&self) -> LeaseRequest {
+        LeaseRequest {
+            router: self.router_id(),
+            revision: self.gateway.lease.revision().unwrap_or(0),
+            stamp: self.gateway.journal.timestamp(),
+            report: None,
+            epoch: Epoch::default(),
+            pool_report: Some(PoolReport {
+                list_digest: self.list_digest,
+                tallies: self.tallies(),
+            }),
+        }
     }
-    gateway.router_count.store(update.router_count, Ordering::Relaxed);
-}
 
-fn record_lease_change(gateway: &Gateway, had_lease: bool) -> bool {
-    let has_lease = gateway.lease.config().is_some();
-    match (had_lease, has_lease) {
-        (false, true) => {
-            let revision = gateway.lease.revision().unwrap_or(0);
-            gateway.journal.record(Event::LeaseGained { revision });
+    fn apply_update(&mut self, update: PoolUpdate) {
+        if let Some(vm_list) = &update.vm_list {
+            self.list_digest = vm_list.digest;
+            self.state.replace_vms(&vm_list.vms);
+            self.gateway.servers.replace_list(&vm_list.vms);
+            log::info!("the VM list has changed: {} VMs", vm_list.vms.len());
+        }
+        self.update_fleet(update.voters, update.router_count);
+    }
+
+    fn update_fleet(&mut self, voters: Vec<SocketAddr>, router_count: u32) {
+        if !voters.is_empty() {
+            self.voters.known = voters;
+        }
+        self.gateway.router_count.store(router_count, Ordering::Relaxed);
+    }
+
+    fn context(&self) -> context::Context {
+        let mut context = context::current();
+        let renewal_interval = self.gateway.settings.renewal_interval;
+        context.deadline = Instant::now() + renewal_interval + RESPONSE_MARGIN;
+        context
+    }
+
+    fn router_id(&self) -> RouterId {
+        RouterId { vm: self.identity.vm.clone(), run: self.identity.run }
+    }
+
+    /// Call counts for the pools with a running roll-out.
+    fn tallies(&self) -> Vec<Tally> {
+        let config = self.gateway.lease.config();
+        let is_running = |pool: &_| {
+            let rollout = config.as_ref().and_then(|config| config.pool_rollouts.get(pool));
+            rollout.is_some_and(|rollout| rollout.status == PoolRolloutStatus::Running)
+        };
+        self.gateway.tallies.of_pools(is_running)
+    }
+
+    fn record_lease_change(&mut self) {
+        let has_lease = self.gateway.lease.config().is_some();
+        match (self.had_lease, has_lease) {
+            (false, true) => {
+                let revision = self.gateway.lease.revision().unwrap_or(0);
+                self.gateway.journal.record(Event::LeaseGained { revision });
+            }
+            (true, false) => self.gateway.journal.record(Event::LeaseLost),
+            _ => {}
         }
-        (true, false) => gateway.journal.record(Event::LeaseLost),
-        _ => {}
+        self.had_lease = has_lease;
     }
-    has_lease
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod header_format;
 mod http_server;
 mod lease_loop;
+mod leaving_servers;
 mod response;
 mod route_index;
 mod route_permit;
@@ -18,6 +19,7 @@
 mod state;
 mod stream_relay;
 mod tallies;
+mod voters;
 
 pub use gateway_error::GatewayError;
 pub use header_format::{
--- a/src/gateway/route_index.rs
+++ b/src/gateway/route_index.rs
@@ -4,13 +4,15 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// A configuration with indexes for lookups by host and by API key.
+/// A configuration that can be searched by host, path and API key.
+///
+/// The table's routes, sorted by host and path prefix, are searched as they are, so that a changed
+/// configuration needs no index of its own for them.
 #[derive(Debug)]
 pub struct RouteIndex {
     /// The indexed configuration.
     pub config: Arc<Config>,
     table: Arc<RouteTable>,
-    hosts: HashMap<String, Vec<usize>>,
     keys: HashMap<KeyHash, usize>,
 }
 
@@ -26,21 +28,15 @@
 }
 
 impl RouteIndex {
-    /// Indexes a configuration; `None` while it has no route table.
+    /// Indexes a configuration whose routes are sorted by host and path prefix; `None` while it has
+    /// no route table.
     pub fn build(config: Arc<Config>) -> Option<Self> {
         let table = config.route_table.clone()?;
-        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
-        for (at, route) in table.routes.iter().enumerate() {
-            hosts.entry(route.host.clone()).or_default().push(at);
-        }
-        for list in hosts.values_mut() {
-            list.sort_by_key(|at| std::cmp::Reverse(table.routes[*at].prefix.len()));
-        }
         let mut keys = HashMap::new();
         for (at, organisation) in table.organisations.iter().flatten().enumerate() {
             keys.extend(organisation.keys.iter().map(|key| (key.clone(), at)));
         }
-        Some(Self { config, table, hosts, keys })
+        Some(Self { config, table, keys })
     }
 
     /// Size limits and timeouts for callers' requests.
@@ -49,11 +45,24 @@
     }
 
     /// The route for a host and path: the one with the longest matching prefix.
-    pub fn route(&self, host: &str, path: &str) -> Option<&ConfiguredRoute> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<ConfiguredRoute>> {
         let host = host_name(host);
-        let list = self.hosts.get(host).or_else(|| self.hosts.get(&host.to_ascii_lowercase()))?;
-        let mut routes = list.iter().map(|at| &self.table.routes[*at]);
-        routes.find(|route| path.starts_with(&route.prefix))
+        let found = self.longest_match(host, path);
+        found.or_else(|| self.longest_match(&host.to_ascii_lowercase(), path))
+    }
+
+    /// Every prefix ends with a slash, so only the parts of the path that do can be one.
+    fn longest_match(&self, host: &str, path: &str) -> Option<&Arc<ConfiguredRoute>> {
+        let ends = memchr::memrchr_iter(b'/', path.as_bytes());
+        ends.map(|end| &path[..=end]).find_map(|prefix| self.exact_match(host, prefix))
+    }
+
+    fn exact_match(&self, host: &str, prefix: &str) -> Option<&Arc<ConfiguredRoute>> {
+        let place = |route: &Arc<ConfiguredRoute>| {
+            (route.host.as_str(), route.prefix.as_str()).cmp(&(host, prefix))
+        };
+        let at = self.table.routes.binary_search_by(place).ok()?;
+        self.table.routes.get(at)
     }
 
     /// Checks whether a key may call a route. Without configured organisations, every route is open.
--- a/src/gateway/route_permit.rs
+++ b/src/gateway/route_permit.rs
@@ -1,5 +1,5 @@
 use crate::backend::WritePermit;
-use crate::control::{Config, KeyHash};
+use crate::control::{Config, ConfiguredRoute, KeyHash, RouteTable};
 use crate::name::PoolName;
 use crate::route::RouterLease;
 use std::sync::Arc;
@@ -9,36 +9,43 @@
 #[derive(Debug)]
 pub struct RoutePermit {
     lease: Arc<RouterLease>,
-    host: String,
-    prefix: String,
+    /// The revision under which the call was found to be allowed.
+    revision: u64,
+    route: Arc<ConfiguredRoute>,
     pool: PoolName,
     key: Option<KeyHash>,
 }
 
 impl RoutePermit {
-    /// Creates the permit for one exchange; `route` is the route's host and path prefix.
+    /// Creates the permit for one exchange of a call that was allowed under `revision`.
     pub fn new(
         lease: Arc<RouterLease>,
-        route: (&str, &str),
+        revision: u64,
+        route: Arc<ConfiguredRoute>,
         pool: PoolName,
         key: Option<KeyHash>,
     ) -> Arc<Self> {
-        let (host, prefix) = (route.0.to_owned(), route.1.to_owned());
-        Arc::new(Self { lease, host, prefix, pool, key })
+        Arc::new(Self { lease, revision, route, pool, key })
     }
 
     fn allows(&self, config: &Config) -> bool {
+        if config.revision == self.revision {
+            return true;
+        }
         let Some(table) = &config.route_table else { return false };
         let mut routes = table.routes.iter();
-        let route = routes.find(|route| route.host == self.host && route.prefix == self.prefix);
-        let has_pool = |route: &crate::control::ConfiguredRoute| {
+        let is_same = |route: &&Arc<ConfiguredRoute>| {
+            route.host == self.route.host && route.prefix == self.route.prefix
+        };
+        let route = routes.find(is_same);
+        let has_pool = |route: &Arc<ConfiguredRoute>| {
             route.pools.iter().any(|share| share.pool == self.pool && share.weight > 0)
         };
         route.is_some_and(has_pool) && self.key.as_ref().is_none_or(|key| is_known_key(table, key))
     }
 }
 
-fn is_known_key(table: &crate::control::RouteTable, key: &KeyHash) -> bool {
+fn is_known_key(table: &RouteTable, key: &KeyHash) -> bool {
     table.organisations.iter().flatten().any(|organisation| organisation.keys.contains(key))
 }
 
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -1,4 +1,5 @@
 use super::ReportedLoad;
+use super::leaving_servers::LeavingServers;
 use crate::name::{PoolName, VmName};
 use crate::vms::{Vm, VmState};
 use std::collections::{HashMap, HashSet};
@@ -14,12 +15,16 @@
 /// The shortest and longest pause of a server; each pause in a row doubles the next one.
 const PAUSE_RANGE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(3));
 
+/// The longest time for which a server is sent nothing at its own request.
+const MAX_HOLD: Duration = Duration::from_secs(300);
+
 /// What this router knows about one backend server.
 #[derive(Debug)]
 pub struct ServerState {
     /// The server's entry in the VM list.
     pub vm: Vm,
-    inner: Mutex<Inner>,
+    /// Shared with the state of an earlier entry for the same server.
+    inner: Arc<Mutex<Inner>>,
 }
 
 #[derive(Debug, Default)]
@@ -32,6 +37,8 @@
     failure_rate: f64,
     pause_count: u32,
     paused_until: Option<Instant>,
+    /// Until when the server has asked to be sent nothing.
+    held_until: Option<Instant>,
     cached_parts: HashMap<u64, Instant>,
 }
 
@@ -54,7 +61,14 @@
 
 impl ServerState {
     fn new(vm: Vm) -> Self {
-        Self { vm, inner: Mutex::new(Inner { slowness: 1.0, ..Inner::default() }) }
+        let inner = Inner { slowness: 1.0, ..Inner::default() };
+        Self { vm, inner: Arc::new(Mutex::new(inner)) }
+    }
+
+    /// The state under a changed entry in the VM list. A server at another address is a new one.
+    fn with_entry(&self, vm: &Vm) -> Option<Self> {
+        let same = self.vm.name == vm.name && self.vm.address == vm.address;
+        same.then(|| Self { vm: vm.clone(), inner: self.inner.clone() })
     }
 
     /// The state of the server now.
@@ -74,6 +88,20 @@
         }
     }
 
+    /// How much longer the server wants to be sent nothing; zero if it takes calls.
+    pub fn hold_left(&self) -> Duration {
+        let held_until = self.inner.lock().expect("server lock").held_until;
+        held_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Sends the server nothing for `wait`, as it asked for. At most `MAX_HOLD` is kept to, and an
+    /// earlier, longer wait stays in force.
+    pub fn hold(&self, wait: Duration) {
+        let until = Instant::now() + wait.min(MAX_HOLD);
+        let mut inner = self.inner.lock().expect("server lock");
+        inner.held_until = inner.held_until.max(Some(until));
+    }
+
     /// Prompt tokens that are not expected to be in the server's cache. Caching works by prefix:
     /// parts after the first uncached one count in full.
     pub fn uncached_tokens(&self, parts: &[(u64, u32)]) -> u64 {
@@ -171,32 +199,75 @@
 
 #[derive(Debug, Default)]
 struct ServerList {
-    digest: u64,
+    /// Whether a VM list has been received.
+    known: bool,
     pools: HashMap<PoolName, Vec<Arc<ServerState>>>,
+    leaving: LeavingServers,
 }
 
 impl ServerTable {
-    /// The digest of the VM list in use; 0 before the first one.
-    pub fn digest(&self) -> u64 {
-        self.list.read().expect("server table lock").digest
+    /// Whether a VM list has been received.
+    pub fn is_known(&self) -> bool {
+        self.list.read().expect("server table lock").known
     }
 
-    /// Replaces the VM list; servers with an unchanged entry keep their state.
-    pub fn replace_list(&self, digest: u64, vms: &[Vm]) {
+    /// Replaces the VM list. Servers that stay at their address keep their state; those that are
+    /// known to be leaving are left out.
+    pub fn replace_list(&self, vms: &[Vm]) {
         let mut list = self.list.write().expect("server table lock");
+        let list = &mut *list;
+        let live: HashSet<&VmName> =
+            vms.iter().filter(|vm| vm.state == VmState::Live).map(|vm| &vm.name).collect();
+        list.leaving.update(Instant::now(), |server| live.contains(server));
         let known = std::mem::take(&mut list.pools);
         let known: HashMap<VmName, Arc<ServerState>> =
             known.into_values().flatten().map(|server| (server.vm.name.clone(), server)).collect();
         let mut names = HashSet::new();
         for vm in vms.iter().filter(|vm| vm.state == VmState::Live) {
-            if !names.insert(&vm.name) {
+            if !names.insert(&vm.name) || list.leaving.contains(&vm.name) {
                 continue;
             }
-            let same = known.get(&vm.name).filter(|server| server.vm == *vm).cloned();
-            let server = same.unwrap_or_else(|| Arc::new(ServerState::new(vm.clone())));
+            let server = match known.get(&vm.name) {
+                Some(server) if server.vm == *vm => server.clone(),
+                Some(server) => {
+                    let changed = server.with_entry(vm);
+                    Arc::new(changed.unwrap_or_else(|| ServerState::new(vm.clone())))
+                }
+                None => Arc::new(ServerState::new(vm.clone())),
+            };
             list.pools.entry(vm.pool.clone()).or_default().push(server);
         }
-        list.digest = digest;
+        list.known = true;
+    }
+
+    /// Takes a server that has said that it is leaving out of its pool. Returns whether that is new.
+    pub fn mark_leaving(&self, vm: &Vm) -> bool {
+        let mut list = self.list.write().expect("server table lock");
+        if !list.leaving.mark(&vm.name, Instant::now()) {
+            return false;
+        }
+        if let Some(servers) = list.pools.get_mut(&vm.pool) {
+            servers.retain(|server| server.vm.name != vm.name);
+        }
+        true
+    }
+
+    /// Whether a server has said that it is leaving.
+    pub fn is_leaving(&self, server: &VmName) -> bool {
+        self.list.read().expect("server table lock").leaving.contains(server)
+    }
+
+    /// Servers that have said that they are leaving, but are still in the VM list.
+    pub fn leaving(&self) -> Vec<VmName> {
+        let list = self.list.read().expect("server table lock");
+        list.leaving.still_listed().cloned().collect()
+    }
+
+    /// How long until a server of the pool takes calls again, if all of them have asked to be sent
+    /// nothing for now.
+    pub fn pool_hold_left(&self, pool: &PoolName) -> Option<Duration> {
+        let shortest = self.pool(pool).iter().map(|server| server.hold_left()).min();
+        shortest.filter(|left| !left.is_zero())
     }
 
     /// The live servers of a pool.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! This library is shared by the daemon (`samphireshiftd`) and the command-line tool
 //! (`samphireshift`). Its folders are layers; each uses only those listed before it:
 //! `name`, `settings`, `event`, `storage`, `consensus`, `control`, `ledger`, `policy`, `group`,
-//! `peer`, `backend`, `vms`, `route`, the HTTP servers `caller` and `operator`, and `gateway`, the
+//! `distribution`, `peer`, `backend`, `vms`, `route`, the HTTP servers `caller` and `operator`, and `gateway`, the
 //! router for configured routes.
 
 pub mod backend;
@@ -12,6 +12,7 @@
 pub mod consensus;
 pub mod control;
 pub mod daemon;
+pub mod distribution;
 pub mod error;
 pub mod event;
 pub mod exit_codes;
--- a/src/peer/handshake.rs
+++ b/src/peer/handshake.rs
@@ -1,8 +1,8 @@
 //! Handshake of peer connections: both ends prove that they know the shared secret, and check that
 //! they do not belong to different clusters.
 
-use super::PeerIdentity;
-use bytes::Bytes;
+use super::{PeerIdentity, ProtocolVersion};
+use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use hmac::{Hmac, Mac};
 use serde::Serialize;
@@ -49,6 +49,24 @@
     nonce: [u8; 16],
 }
 
+/// What follows a [`Challenge`] in the same frame. Builds from before the first version send
+/// nothing there and ignore it.
+#[derive(Serialize, serde::Deserialize)]
+struct ChallengeSuffix {
+    version: ProtocolVersion,
+}
+
+/// The other end of a connection that was opened to it.
+#[derive(Debug)]
+pub struct ConnectedPeer {
+    /// The connection.
+    pub framed: FramedStream,
+    /// Its identity.
+    pub identity: PeerIdentity,
+    /// The version of the calls that it answers.
+    pub version: ProtocolVersion,
+}
+
 /// Proves knowledge of the secret with a MAC over the role, the other end's nonce and the identity.
 #[derive(Serialize, serde::Deserialize)]
 struct Proof {
@@ -71,7 +89,8 @@
     let mut framed = frame_stream(stream)?;
     let exchange = async {
         let nonce = rand::random();
-        send_message(&mut framed, &Challenge { nonce }).await?;
+        let suffix = ChallengeSuffix { version: ProtocolVersion::CURRENT };
+        send_message(&mut framed, &(Challenge { nonce }, suffix)).await?;
         let proof: Proof = receive_message(&mut framed).await?;
         verify_proof(secret, "connect", nonce, &proof)?;
         let mac = compute_mac(secret, "accept", proof.nonce, local);
@@ -97,23 +116,38 @@
     stream: TcpStream,
     secret: &str,
     local: &PeerIdentity,
-) -> Result<(FramedStream, PeerIdentity), HandshakeError> {
+) -> Result<ConnectedPeer, HandshakeError> {
     let mut framed = frame_stream(stream)?;
     let exchange = async {
-        let challenge: Challenge = receive_message(&mut framed).await?;
+        let (challenge, version) = receive_challenge(&mut framed).await?;
         let nonce = rand::random();
         let mac = compute_mac(secret, "connect", challenge.nonce, local);
         send_message(&mut framed, &Proof { identity: local.clone(), nonce, mac }).await?;
         let proof: Proof = receive_message(&mut framed).await?;
         verify_proof(secret, "accept", nonce, &proof)?;
         match local.is_cluster_compatible(&proof.identity) {
-            true => Ok(proof.identity),
+            true => Ok((proof.identity, version)),
             false => Err(HandshakeError::ClusterMismatch),
         }
     };
-    let identity = with_timeout(exchange).await?;
+    let (identity, version) = with_timeout(exchange).await?;
     framed.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
-    Ok((framed, identity))
+    Ok(ConnectedPeer { framed, identity, version })
+}
+
+/// Receives the challenge, and the version that may follow it in the same frame.
+async fn receive_challenge(
+    framed: &mut FramedStream,
+) -> Result<(Challenge, ProtocolVersion), HandshakeError> {
+    let frame = receive_frame(framed).await?;
+    let (challenge, rest) =
+        postcard::take_from_bytes(&frame).map_err(|_| HandshakeError::Protocol)?;
+    if rest.is_empty() {
+        return Ok((challenge, ProtocolVersion::FIRST));
+    }
+    let suffix: ChallengeSuffix =
+        postcard::from_bytes(rest).map_err(|_| HandshakeError::Protocol)?;
+    Ok((challenge, suffix.version))
 }
 
 async fn with_timeout<F, T>(exchange: F) -> Result<T, HandshakeError>
@@ -145,11 +179,15 @@
 where
     T: DeserializeOwned,
 {
-    let frame = framed.next().await.ok_or(HandshakeError::Protocol)?;
-    let frame = frame.map_err(|_| HandshakeError::Protocol)?;
+    let frame = receive_frame(framed).await?;
     postcard::from_bytes(&frame).map_err(|_| HandshakeError::Protocol)
 }
 
+async fn receive_frame(framed: &mut FramedStream) -> Result<BytesMut, HandshakeError> {
+    let frame = framed.next().await.ok_or(HandshakeError::Protocol)?;
+    frame.map_err(|_| HandshakeError::Protocol)
+}
+
 /// Computes the MAC of a proof. `role` is "connect" or "accept", so that the proof of one end is
 /// not valid as that of the other.
 fn compute_mac(secret: &str, role: &str, nonce: [u8; 16], identity: &PeerIdentity) -> [u8; 32] {
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,4 +1,4 @@
-use super::{PeerClient, PeerIdentity, PostcardCodec, handshake};
+use super::{PeerClient, PeerIdentity, PostcardCodec, ProtocolVersion, handshake};
 use crate::event::{Event, Journal};
 use crate::group::since_start;
 use std::net::SocketAddr;
@@ -108,7 +108,8 @@
 ) {
     loop {
         let identity = local.read().expect("identity lock poisoned").clone();
-        if let Some((client, identity)) = dial(link.address, &secret, &identity, &journal).await {
+        if let Some(dialed) = dial(link.address, &secret, &identity, &journal).await {
+            let Dialed { client, identity, .. } = dialed;
             ping_until_failure(&link, client, identity).await;
             link.set_active(None);
             journal.record(Event::PeerSilent { peer: link.address.to_string() });
@@ -117,25 +118,37 @@
     }
 }
 
+/// A connection to a peer.
+#[derive(Debug, Clone)]
+pub struct Dialed {
+    /// The client for calls to the peer.
+    pub client: PeerClient,
+    /// The identity of the peer.
+    pub identity: PeerIdentity,
+    /// The version of the calls that the peer answers.
+    pub version: ProtocolVersion,
+}
+
 /// Connects to a peer and runs the handshake, once. Returns `None` on failure.
 pub async fn dial(
     address: SocketAddr,
     secret: &str,
     local: &PeerIdentity,
     journal: &Arc<Journal>,
-) -> Option<(PeerClient, PeerIdentity)> {
+) -> Option<Dialed> {
     let connect = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
-    let (framed, identity) = match handshake::connect(stream, secret, local).await {
-        Ok(connected) => connected,
+    let peer = match handshake::connect(stream, secret, local).await {
+        Ok(peer) => peer,
         Err(error) => {
             log::debug!("handshake with peer {address} failed: {error}");
             return None;
         }
     };
-    let transport = tarpc::serde_transport::new(framed, PostcardCodec::new(journal.clone()));
+    let codec = PostcardCodec::new(journal.clone());
+    let transport = tarpc::serde_transport::new(peer.framed, codec);
     let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
-    Some((client, identity))
+    Some(Dialed { client, identity: peer.identity, version: peer.version })
 }
 
 /// Marks the link as connected and pings the peer until a ping fails.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -9,12 +9,14 @@
 mod outbox;
 mod peer_links;
 mod postcard_codec;
+mod protocol_version;
+mod renewal;
 mod service;
 
 pub use cluster::{Cluster, Unavailable};
-pub use handshake::{HandshakeError, accept, connect};
+pub use handshake::{ConnectedPeer, HandshakeError, accept, connect};
 pub use identity::PeerIdentity;
-pub use link::{Link, dial};
+pub use link::{Dialed, Link, dial};
 pub use message::{
     EventResponse, EvidenceView, GroupView, LeaseRequest, LeaseResponse, NodeStatus,
     OperatorRequest, OperatorResponse, PoolReport, PoolUpdate, StoppedVersion, SubmitResponse,
@@ -22,4 +24,6 @@
 pub use outbox::dispatch_outbox;
 pub use peer_links::PeerLinks;
 pub use postcard_codec::PostcardCodec;
+pub use protocol_version::ProtocolVersion;
+pub use renewal::{RenewRequest, RenewResponse};
 pub use service::{Peer, PeerClient};
--- /dev/null
+++ b/src/peer/protocol_version.rs
@@ -0,0 +1,15 @@
+use serde::{Deserialize, Serialize};
+
+/// The version of the calls that a daemon answers. Calls are only ever added, so a daemon of one
+/// build may call one of another as long as it sticks to that daemon's version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ProtocolVersion(u32);
+
+impl ProtocolVersion {
+    /// The version of builds that do not state one.
+    pub const FIRST: Self = Self(0);
+    /// Since this version, daemons send changes of the state with lease renewals.
+    pub const STATE_CHANGES: Self = Self(1);
+    /// The version of this build.
+    pub const CURRENT: Self = Self::STATE_CHANGES;
+}
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -4,7 +4,7 @@
 
 use super::{
     EventResponse, LeaseRequest, LeaseResponse, NodeStatus, OperatorRequest, OperatorResponse,
-    PeerIdentity, SubmitResponse,
+    PeerIdentity, RenewRequest, RenewResponse, SubmitResponse,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -27,4 +27,7 @@
     async fn status() -> NodeStatus;
     /// Returns the events that match a query from the daemon's own journal.
     async fn events(query: EventQuery) -> EventResponse;
+    /// Renews the lease of a routing-only daemon, if this daemon leads the control group, and sends
+    /// a part of the state that the router lacks. Needs protocol version 1.
+    async fn renew(request: RenewRequest) -> RenewResponse;
 }
--- a/src/settings/fleet_limits.rs
+++ b/src/settings/fleet_limits.rs
@@ -2,12 +2,17 @@
 
 /// Fraction of the revocation bound that a lease lasts.
 const LEASE_FRACTION: f64 = 0.8;
+/// Fraction of the apply bound after which a router without the newest configuration stops. The
+/// rest is for the time until the router learns of it.
+const OUTDATED_FRACTION: f64 = 0.8;
 
 /// Limits that a fleet of routers and voters keeps, as promised to its callers and operators.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetLimits {
     /// Longest time after the withdrawal of an API key during which a call with it may still run.
     pub revocation_bound: Duration,
+    /// Longest time that a router may work under a configuration after a newer one was accepted.
+    pub apply_bound: Duration,
     /// Time between the order to stop a daemon and its forced end.
     pub stop_timeout: Duration,
     /// Longest pause between two calls of one session.
@@ -29,4 +34,10 @@
     pub fn lease_duration(&self) -> Duration {
         self.revocation_bound.mul_f64(LEASE_FRACTION)
     }
+
+    /// Returns how long a router may work on after it has learned of a configuration that it does
+    /// not have yet.
+    pub fn outdated_limit(&self) -> Duration {
+        self.apply_bound.mul_f64(OUTDATED_FRACTION)
+    }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -219,6 +219,7 @@
     fn read_fleet_limits(r: &mut SettingsReader) -> FleetLimits {
         FleetLimits {
             revocation_bound: r.duration("promises", "revoke", "3s", "1s", "1m"),
+            apply_bound: r.duration("promises", "apply", "4s", "500ms", "1m"),
             stop_timeout: r.duration("promises", "stop", "30s", "1s", "10m"),
             session_timeout: r.duration("promises", "session", "1m", "100ms", "24h"),
             retry_ratio: r.decimal("promises", "repeats", 0.1, 0.0, 10.0),
--- a/src/vms/mod.rs
+++ b/src/vms/mod.rs
@@ -1,11 +1,13 @@
 //! The platform's list of VMs, which may be out of date.
 
+mod leaving_marks;
 mod snapshot;
 mod source;
 mod vm;
 mod vm_index;
 mod vm_list;
 
+pub use leaving_marks::LeavingMarks;
 pub use snapshot::VmSnapshot;
 pub use source::{VmListError, VmSource};
 pub use vm::{Vm, VmState};
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -6,13 +6,14 @@
 use samphireshift::backend::{ChatStreamParser, LoadReport, Usage};
 use samphireshift::consensus::MemberId;
 use samphireshift::control::{ControlCommand, Ticket};
+use samphireshift::distribution::{Change, ConfigEntry, ConfigKey};
 use samphireshift::event::{EventQuery, EventRecord, Timestamp};
 use samphireshift::group::Envelope;
 use samphireshift::ledger::LedgerCommand;
 use samphireshift::name::{DataCentre, RequestId, VersionKey, VmName};
 use samphireshift::peer::{
     EventResponse, LeaseRequest, LeaseResponse, NodeStatus, OperatorRequest, OperatorResponse,
-    PeerIdentity, SubmitResponse,
+    PeerIdentity, RenewRequest, RenewResponse, SubmitResponse,
 };
 use samphireshift::settings::{Settings, parse_duration, parse_size};
 use samphireshift::storage::{DataFolder, StorageError};
@@ -71,6 +72,10 @@
     let _ = postcard::from_bytes::<PeerIdentity>(bytes);
     let _ = postcard::from_bytes::<LeaseRequest>(bytes);
     let _ = postcard::from_bytes::<LeaseResponse>(bytes);
+    let _ = postcard::from_bytes::<RenewRequest>(bytes);
+    let _ = postcard::from_bytes::<RenewResponse>(bytes);
+    let _ = postcard::from_bytes::<Change<ConfigKey, ConfigEntry>>(bytes);
+    let _ = postcard::from_bytes::<Change<VmName, Vm>>(bytes);
     let _ = postcard::from_bytes::<SubmitResponse>(bytes);
     let _ = postcard::from_bytes::<OperatorRequest>(bytes);
     let _ = postcard::from_bytes::<OperatorResponse>(bytes);
