Try another server when one is silent for long against what is usual

Cause: a call that may be repeated waited for three times its target latency (plain calls: 0.4 of the time left), whatever the servers usually take; calls of origin-report (target 4 s, deadline 8 s) never got a second try. A stream whose head had come but no event waited until its deadline.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -13,21 +13,14 @@
 use http::{HeaderMap, Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// The most servers tried for one call, including those that could not be reached.
 const MAX_SERVERS_TRIED: usize = 8;
 /// The largest response body that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// Fraction of the remaining time that each attempt but the last may wait for the response head, on
-/// routes that do not stream.
-const ATTEMPT_TIME_FRACTION: f64 = 0.4;
 /// How much longer the largest model takes to start its response than the smallest, as a factor.
 const LARGEST_MODEL_SLOWDOWN: f64 = 2.2;
-/// An attempt on a streaming route may wait for the response head for this multiple of the route's
-/// target latency; then another server is tried.
-const STREAM_HEAD_TIMEOUT_FACTOR: u32 = 3;
-
 /// An accepted call, with everything that its attempts need.
 #[derive(Clone)]
 pub struct Call {
@@ -88,6 +81,7 @@
     let deadline = call.deadline;
     let call = Arc::new(call);
     call.gateway.record_call(&call.pool);
+    call.gateway.count_for_silence();
     let mut history = AttemptHistory::default();
     let work = try_servers(&call, &mut history);
     match tokio::time::timeout_at(deadline.into(), work).await {
@@ -120,6 +114,7 @@
             continue;
         }
         if let Some(larger) = call.escalation(&exchange, history) {
+            call.record_response_time(exchange.elapsed());
             exchange.discard();
             history.servers.clear();
             history.budget_taken = true;
@@ -136,6 +131,7 @@
                 }
             }
         }
+        call.record_response_time(exchange.elapsed());
         exchange.response_started();
         match collect_response(exchange).await {
             Ok(response) => return Ok(response),
@@ -187,10 +183,10 @@
             }
             let server = selected.server.clone();
             history.servers.push(server.vm.name.clone());
-            let head_timeout = self.head_timeout(history);
+            let patience = self.patience(history);
             history.sends += 1;
             metrics::counter!("samphireshift_attempts_total").increment(1);
-            match self.send(selected, last_event, head_timeout).await {
+            match self.send(selected, last_event, patience).await {
                 SendOutcome::Answered(exchange) => {
                     let (status, attempt) = (exchange.response.status(), history.sends);
                     log::debug!(
@@ -318,16 +314,4 @@
             None => GatewayError::NoServer(self.pool.to_string()),
         }
     }
-
-    /// How long the next server may take to send the head of its response.
-    fn head_timeout(&self, history: &AttemptHistory) -> Duration {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let is_last =
-            history.sends + 1 >= self.route.max_attempts || !self.route.kind.is_retry_safe();
-        match self.route.kind.is_stream() {
-            _ if is_last => left,
-            true => left.min(self.route.latency_target * STREAM_HEAD_TIMEOUT_FACTOR),
-            false => left.mul_f64(ATTEMPT_TIME_FRACTION),
-        }
-    }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! One call at one backend server, up to the head of its response.
 
 use super::call::Call;
+use super::patience::Patience;
 use super::response::strip_hop_headers;
 use super::route_permit::RoutePermit;
 use super::server_selection::SelectedServer;
@@ -42,6 +43,9 @@
     pub in_flight: InFlightCall,
     /// Records the call in the tallies.
     pub recorder: CallRecorder,
+    /// How long the first event of a stream may take.
+    pub patience: Patience,
+    sent_at: Instant,
     /// The budget that the bytes held of the response count towards.
     pub buffers: Arc<ByteBudget>,
     connection: PooledConnection,
@@ -66,6 +70,11 @@
         self.recorder.set_outcome(CallOutcome::Success);
     }
 
+    /// Time since the call was sent.
+    pub fn elapsed(&self) -> Duration {
+        self.sent_at.elapsed()
+    }
+
     /// Records that the response, or its first event, has arrived.
     pub fn response_started(&mut self) {
         self.in_flight.prompt_read();
@@ -75,12 +84,12 @@
 }
 
 impl Call {
-    /// Sends the call to a server and waits for the head of the response, for at most `timeout`.
+    /// Sends the call to a server and waits for the head of the response.
     pub(super) async fn send(
         &self,
         selected: SelectedServer,
         last_event: Option<u64>,
-        timeout: Duration,
+        patience: Patience,
     ) -> SendOutcome {
         let SelectedServer { server, uncached_tokens, baseline_ms, .. } = selected;
         let in_flight = server.begin_call(&self.parts, uncached_tokens);
@@ -110,7 +119,8 @@
         let (route, pool) = (self.route.clone(), self.pool.clone());
         connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
         let request = self.request(&server.vm.name, last_event);
-        let result = tokio::time::timeout(timeout, connection.send_unchanged(request)).await;
+        let sent_at = Instant::now();
+        let result = self.wait_for(patience, connection.send_unchanged(request)).await;
         let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent(cause))) => return SendOutcome::NotSent(cause),
@@ -167,6 +177,8 @@
             head,
             in_flight,
             recorder,
+            patience,
+            sent_at,
             buffers: self.gateway.buffers.clone(),
             connection,
         }))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod http_server;
 mod lease_loop;
 mod leaving_servers;
+mod patience;
 mod response;
 mod route_index;
 mod route_permit;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,3 +1,4 @@
+use super::patience::SilenceTracker;
 use super::server_table::ServerTable;
 use super::sessions::Sessions;
 use super::tallies::Tallies;
@@ -42,6 +43,8 @@
     pub tallies: Arc<Tallies>,
     /// Limits the bytes of responses that are held at the same time.
     pub buffers: Arc<ByteBudget>,
+    /// How soon servers count as silent.
+    pub silence: Mutex<SilenceTracker>,
     /// Whether new calls are rejected.
     pub closed: AtomicBool,
     /// Whether the router is shutting down and reports itself as not ready.
@@ -66,6 +69,7 @@
             sessions: Sessions::new(settings.fleet_limits.session_timeout * 2),
             tallies: Arc::default(),
             buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
+            silence: Mutex::default(),
             closed: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             router_count: AtomicU32::new(1),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -2,6 +2,7 @@
 
 use super::call::{AttemptHistory, Call};
 use super::exchange::Exchange;
+use super::patience::Silent;
 use super::response::{ResponseBody, stream_body, strip_hop_headers};
 use crate::backend::ByteShare;
 use bytes::{Buf, Bytes, BytesMut};
@@ -66,13 +67,23 @@
         let mut head = Response::new(());
         *head.status_mut() = exchange.response.status();
         *head.headers_mut() = exchange.response.headers().clone();
-        let share = exchange.buffers.share();
+        let (share, patience) = (exchange.buffers.share(), exchange.patience);
         let exchange = Some(exchange);
         let waited = Duration::ZERO;
         let mut relay =
             Self { call, head, exchange, splitter, share, first: None, waited, history };
-        relay.first = relay.read_first_event().await.map_err(|error| error.to_string())?;
+        let call = relay.call.clone();
+        match call.wait_for(patience, relay.read_first_event()).await {
+            Ok(first) => relay.first = first.map_err(|error| error.to_string())?,
+            Err(Silent) => {
+                if let Some(exchange) = &relay.exchange {
+                    exchange.in_flight.server.record_failure();
+                }
+                return Err("no event in time".to_owned());
+            }
+        }
         if let Some(exchange) = &mut relay.exchange {
+            call.record_response_time(exchange.elapsed());
             exchange.response_started();
         }
         Ok(relay)
