--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -183,10 +183,10 @@
             }
             let server = selected.server.clone();
             history.servers.push(server.vm.name.clone());
-            let patience = self.patience(history);
+            let timeout = self.response_timeout(history);
             history.sends += 1;
             metrics::counter!("samphireshift_attempts_total").increment(1);
-            match self.send(selected, last_event, patience).await {
+            match self.send(selected, last_event, timeout).await {
                 SendOutcome::Answered(exchange) => {
                     let (status, attempt) = (exchange.response.status(), history.sends);
                     log::debug!(
@@ -307,8 +307,8 @@
         }
         match &history.last_failure {
             Some(cause) => GatewayError::ResponseLost(cause.clone()),
-            None if let Some(wait) = self.gateway.servers.pool_hold_left(&self.pool) => {
-                GatewayError::ServersHeld { pool: self.pool.to_string(), wait }
+            None if let Some(wait) = self.gateway.servers.pool_backoff_left(&self.pool) => {
+                GatewayError::ServersBackingOff { pool: self.pool.to_string(), wait }
             }
             None if history.sends > 0 => GatewayError::ServersFull,
             None => GatewayError::NoServer(self.pool.to_string()),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,8 +1,8 @@
 //! One call at one backend server, up to the head of its response.
 
 use super::call::Call;
-use super::patience::Patience;
 use super::response::strip_hop_headers;
+use super::response_timeout::ResponseTimeout;
 use super::route_permit::RoutePermit;
 use super::server_selection::SelectedServer;
 use super::server_table::InFlightCall;
@@ -44,7 +44,7 @@
     /// Records the call in the tallies.
     pub recorder: CallRecorder,
     /// How long the first event of a stream may take.
-    pub patience: Patience,
+    pub timeout: ResponseTimeout,
     sent_at: Instant,
     /// The budget that the bytes held of the response count towards.
     pub buffers: Arc<ByteBudget>,
@@ -89,7 +89,7 @@
         &self,
         selected: SelectedServer,
         last_event: Option<u64>,
-        patience: Patience,
+        timeout: ResponseTimeout,
     ) -> SendOutcome {
         let SelectedServer { server, uncached_tokens, baseline_ms, .. } = selected;
         let in_flight = server.begin_call(&self.parts, uncached_tokens);
@@ -111,7 +111,7 @@
                 }
             };
         // Opening the connection took time, in which the server may have said more.
-        if self.gateway.servers.is_leaving(&server.vm.name) || !server.hold_left().is_zero() {
+        if self.gateway.servers.is_leaving(&server.vm.name) || !server.backoff_left().is_zero() {
             connection.return_to_pool();
             return SendOutcome::NotSent("the server wants no calls any more".to_owned());
         }
@@ -120,7 +120,7 @@
         connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
         let request = self.request(&server.vm.name, last_event);
         let sent_at = Instant::now();
-        let result = self.wait_for(patience, connection.send_unchanged(request)).await;
+        let result = self.wait_for_response(timeout, connection.send_unchanged(request)).await;
         let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent(cause))) => return SendOutcome::NotSent(cause),
@@ -146,7 +146,7 @@
         if let Some(wait) = head.retry_after.filter(|_| declines) {
             let (id, wait_ms) = (self.log_id(), wait.as_millis());
             log::info!("call {id}: server {} asks for a pause of {wait_ms} ms", server.vm.name);
-            server.hold(wait);
+            server.back_off(wait);
         }
         let is_other_call = head.id.is_some() && self.head.id.is_some() && head.id != self.head.id;
         if is_other_call {
@@ -177,7 +177,7 @@
             head,
             in_flight,
             recorder,
-            patience,
+            timeout,
             sent_at,
             buffers: self.gateway.buffers.clone(),
             connection,
--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -19,7 +19,7 @@
     NoServer(String),
     /// Every server of the pool has asked to be sent nothing for some time.
     #[error("every server of pool {pool} has asked for a pause; retry in {} ms", wait.as_millis())]
-    ServersHeld {
+    ServersBackingOff {
         /// The pool.
         pool: String,
         /// The time until the first of them takes calls again.
@@ -62,7 +62,7 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             GatewayError::NoServer(_)
-            | GatewayError::ServersHeld { .. }
+            | GatewayError::ServersBackingOff { .. }
             | GatewayError::ServersFull
             | GatewayError::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             GatewayError::NoRoute(_) => StatusCode::NOT_FOUND,
@@ -82,7 +82,7 @@
             GatewayError::NoServer(_) | GatewayError::ServersFull => {
                 Some(Duration::from_millis(400))
             }
-            GatewayError::ServersHeld { wait, .. } => Some(*wait),
+            GatewayError::ServersBackingOff { wait, .. } => Some(*wait),
             GatewayError::Starting => Some(Duration::from_secs(1)),
             _ => None,
         }
@@ -95,7 +95,7 @@
             GatewayError::Starting => "starting",
             GatewayError::Stopping => "stopping",
             GatewayError::NoServer(_) => "no_server",
-            GatewayError::ServersHeld { .. } => "held",
+            GatewayError::ServersBackingOff { .. } => "backoff",
             GatewayError::ServersFull => "full",
             GatewayError::NotSentInTime => "late",
             GatewayError::NoRoute(_) => "no_route",
--- a/src/gateway/patience.rs
+++ b/src/gateway/response_timeout.rs
@@ -26,7 +26,7 @@
 
 /// The limits for one attempt's first byte.
 #[derive(Debug, Clone, Copy)]
-pub struct Patience {
+pub struct ResponseTimeout {
     /// When the server counts as silent: another one is tried if the budget allows it.
     pub early: Instant,
     /// When another server is tried in any case, or the deadline on the last attempt.
@@ -55,13 +55,13 @@
 
 impl Call {
     /// The limits for the next attempt.
-    pub(super) fn patience(&self, history: &AttemptHistory) -> Patience {
+    pub(super) fn response_timeout(&self, history: &AttemptHistory) -> ResponseTimeout {
         let now = Instant::now();
         let left = self.deadline.saturating_duration_since(now);
         let is_last =
             history.sends + 1 >= self.route.max_attempts || !self.route.kind.is_retry_safe();
         if is_last {
-            return Patience { early: self.deadline, latest: self.deadline };
+            return ResponseTimeout { early: self.deadline, latest: self.deadline };
         }
         let target = self.route.latency_target;
         let latest = match self.route.kind.is_stream() {
@@ -70,16 +70,16 @@
         };
         let mut silence = self.gateway.silence.lock().expect("silence lock");
         let early = silence.entry(self).silence_timeout(target).min(latest);
-        Patience { early: now + early, latest: now + latest }
+        ResponseTimeout { early: now + early, latest: now + latest }
     }
 
     /// Waits for the first byte of a response.
     ///
     /// # Errors
     /// [`Silent`] if it does not come in time.
-    pub(super) async fn wait_for<F>(
+    pub(super) async fn wait_for_response<F>(
         &self,
-        patience: Patience,
+        timeout: ResponseTimeout,
         response: F,
     ) -> Result<F::Output, Silent>
     where
@@ -87,12 +87,11 @@
     {
         let started = Instant::now();
         let mut response = pin!(response);
-        if let Ok(output) = tokio::time::timeout_at(patience.early.into(), response.as_mut()).await
-        {
+        if let Ok(output) = tokio::time::timeout_at(timeout.early.into(), response.as_mut()).await {
             return Ok(output);
         }
-        if !self.gives_up_early(patience, started.elapsed())
-            && let Ok(output) = tokio::time::timeout_at(patience.latest.into(), response).await
+        if !self.gives_up_early(timeout, started.elapsed())
+            && let Ok(output) = tokio::time::timeout_at(timeout.latest.into(), response).await
         {
             return Ok(output);
         }
@@ -104,8 +103,8 @@
         self.gateway.silence.lock().expect("silence lock").entry(self).record(time);
     }
 
-    fn gives_up_early(&self, patience: Patience, waited: Duration) -> bool {
-        if patience.early >= patience.latest {
+    fn gives_up_early(&self, timeout: ResponseTimeout, waited: Duration) -> bool {
+        if timeout.early >= timeout.latest {
             return true;
         }
         let mut silence = self.gateway.silence.lock().expect("silence lock");
--- a/src/gateway/server_selection.rs
+++ b/src/gateway/server_selection.rs
@@ -109,7 +109,7 @@
     ) -> Option<SelectedServer> {
         let is_candidate = |server: &&Arc<ServerState>| {
             filter.matches(server.vm.version.as_ref())
-                && server.hold_left().is_zero()
+                && server.backoff_left().is_zero()
                 && !criteria.excluded.contains(&server.vm.name)
         };
         let candidates: Vec<&Arc<ServerState>> = servers.iter().filter(is_candidate).collect();
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -16,7 +16,7 @@
 const PAUSE_RANGE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(3));
 
 /// The longest time for which a server is sent nothing at its own request.
-const MAX_HOLD: Duration = Duration::from_secs(300);
+const MAX_BACKOFF: Duration = Duration::from_secs(300);
 
 /// What this router knows about one backend server.
 #[derive(Debug)]
@@ -38,7 +38,7 @@
     pause_count: u32,
     paused_until: Option<Instant>,
     /// Until when the server has asked to be sent nothing.
-    held_until: Option<Instant>,
+    backoff_until: Option<Instant>,
     cached_parts: HashMap<u64, Instant>,
 }
 
@@ -89,17 +89,18 @@
     }
 
     /// How much longer the server wants to be sent nothing; zero if it takes calls.
-    pub fn hold_left(&self) -> Duration {
-        let held_until = self.inner.lock().expect("server lock").held_until;
-        held_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    pub fn backoff_left(&self) -> Duration {
+        let backoff_until = self.inner.lock().expect("server lock").backoff_until;
+        backoff_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
     }
 
-    /// Sends the server nothing for `wait`, as it asked for. At most `MAX_HOLD` is kept to, and an
+    /// Sends the server nothing for `wait`, as it asked for. At most `MAX_BACKOFF` is kept to, and an
     /// earlier, longer wait stays in force.
-    pub fn hold(&self, wait: Duration) {
-        let until = Instant::now() + wait.min(MAX_HOLD);
+    pub fn back_off(&self, wait: Duration) {
+        let until = Instant::now() + wait.min(MAX_BACKOFF);
         let mut inner = self.inner.lock().expect("server lock");
-        inner.held_until = inner.held_until.max(Some(until));
+        inner.backoff_until = inner.backoff_until.max(Some(until));
     }
 
     /// Prompt tokens that are not expected to be in the server's cache. Caching works by prefix:
@@ -265,8 +266,8 @@
 
     /// How long until a server of the pool takes calls again, if all of them have asked to be sent
     /// nothing for now.
-    pub fn pool_hold_left(&self, pool: &PoolName) -> Option<Duration> {
-        let shortest = self.pool(pool).iter().map(|server| server.hold_left()).min();
+    pub fn pool_backoff_left(&self, pool: &PoolName) -> Option<Duration> {
+        let shortest = self.pool(pool).iter().map(|server| server.backoff_left()).min();
         shortest.filter(|left| !left.is_zero())
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,4 +1,4 @@
-use super::patience::SilenceTracker;
+use super::response_timeout::SilenceTracker;
 use super::server_table::ServerTable;
 use super::sessions::Sessions;
 use super::tallies::Tallies;
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -2,8 +2,8 @@
 
 use super::call::{AttemptHistory, Call};
 use super::exchange::Exchange;
-use super::patience::Silent;
 use super::response::{ResponseBody, stream_body, strip_hop_headers};
+use super::response_timeout::Silent;
 use crate::backend::ByteShare;
 use bytes::{Buf, Bytes, BytesMut};
 use futures::stream;
@@ -67,13 +67,13 @@
         let mut head = Response::new(());
         *head.status_mut() = exchange.response.status();
         *head.headers_mut() = exchange.response.headers().clone();
-        let (share, patience) = (exchange.buffers.share(), exchange.patience);
+        let (share, timeout) = (exchange.buffers.share(), exchange.timeout);
         let exchange = Some(exchange);
         let waited = Duration::ZERO;
         let mut relay =
             Self { call, head, exchange, splitter, share, first: None, waited, history };
         let call = relay.call.clone();
-        match call.wait_for(patience, relay.read_first_event()).await {
+        match call.wait_for_response(timeout, relay.read_first_event()).await {
             Ok(first) => relay.first = first.map_err(|error| error.to_string())?,
             Err(Silent) => {
                 if let Some(exchange) = &relay.exchange {
