Learn a pool's rate while requests wait, without the bias of its start

Cause of the test that failed beside load (concurrent first requests during a fail-over, 429 'retry in 8 s'): the average of finished requests began at 0 and took 5 s to come up; five requests 50 ms apart gave 0.98 a second where 20 are finished, and idle times counted as slowness. Nothing to do with the leader's death but for the pause. Change: only gaps between requests that finish while others wait count, weighted without the bias, four at least.

--- a/src/route/admission.rs
+++ b/src/route/admission.rs
@@ -139,7 +139,7 @@
         let mut shard = self.shard(pool).lock().expect("admission lock");
         let Some(queue) = shard.get_mut(pool) else { return };
         queue.in_flight = queue.in_flight.saturating_sub(1);
-        queue.rate.record_finished(since_start());
+        queue.rate.record_finished(since_start(), !queue.waiters.is_empty());
         let admitted = self.admit_waiting(pool, queue);
         drop(shard);
         send_permits(admitted);
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -12,7 +12,7 @@
 use samphireshift::name::{DataCentre, OrganisationName, PoolName, VmName};
 use samphireshift::policy::{
     BalancePolicy, ConcurrencyLimit, FairQueue, LoadEstimate, PrefixKeys, PrefixTable, PushOutcome,
-    ServerCandidate, pick_server,
+    ServerCandidate, ServiceRate, pick_server,
 };
 use samphireshift::route::ServerTracker;
 use samphireshift::vms::{Vm, VmState};
@@ -135,6 +135,42 @@
     assert!((expected / 2..expected * 2).contains(&counts[CALLS]), "{counts:?}");
 }
 
+/// Requests that a pool finishes, and the range expected of the wait for ten more.
+struct RateCase {
+    /// When each request finishes, in milliseconds, and whether others wait then.
+    finished: &'static [(u64, bool)],
+    /// The wait in milliseconds; `None` while too little is known.
+    wait: Option<std::ops::RangeInclusive<u128>>,
+}
+
+#[rstest]
+#[case::nothing_known(RateCase { finished: &[], wait: None })]
+#[case::one_gap_proves_little(RateCase { finished: &[(0, true), (50, true)], wait: None })]
+#[case::just_started(RateCase {
+    finished: &[(0, true), (50, true), (100, true), (150, true), (200, true), (250, true)],
+    wait: Some(400..=600),
+})]
+#[case::idle_before_a_burst(RateCase {
+    finished: &[(0, false), (9_000, false), (18_000, false), (27_000, true), (27_050, true), (27_100, true), (27_150, true), (27_200, true), (27_250, true)],
+    wait: Some(400..=600),
+})]
+#[case::idle_only(RateCase { finished: &[(0, false), (9_000, false), (18_000, false), (27_000, false), (36_000, false), (45_000, false)], wait: None })]
+#[case::a_pause_within_a_burst(RateCase {
+    finished: &[(0, true), (1_200, true), (1_200, true), (1_210, true), (1_210, true), (1_220, true), (1_250, true), (1_300, true)],
+    wait: Some(1_200..=2_400),
+})]
+fn the_wait_of_a_pool_is_learned_while_requests_wait(#[case] case: RateCase) {
+    let mut rate = ServiceRate::default();
+    for (millis, waiting) in case.finished {
+        rate.record_finished(Duration::from_millis(*millis), *waiting);
+    }
+    let wait = rate.expected_wait(10).map(|wait| wait.as_millis());
+    match case.wait {
+        None => assert_eq!(wait, None),
+        Some(range) => assert!(wait.is_some_and(|wait| range.contains(&wait)), "{wait:?} ms"),
+    }
+}
+
 #[test]
 fn an_invalidated_or_expired_cache_entry_is_not_used() {
     let (mut table, at) = (PrefixTable::default(), Duration::from_secs);
