Log how a stream ended that has neither a length nor chunks

No logic is changed. Change: one line with the call, the server, the last event and the bytes left of the next one.

--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -149,6 +149,16 @@
                     return Err(io::Error::other(error));
                 }
                 None => {
+                    if ends_with_connection(&exchange.response) {
+                        log::info!(
+                            "call {}: stream of server {} ended with its connection after event \
+                             {:?}, {} bytes into the next",
+                            self.call.log_id(),
+                            exchange.in_flight.server.vm.name,
+                            self.splitter.last_id,
+                            self.splitter.buffer.len()
+                        );
+                    }
                     if let Some(exchange) = self.exchange.take() {
                         exchange.finish();
                     }
@@ -276,6 +286,13 @@
     }
 }
 
+/// Whether a response has neither a length nor chunks, so that only the end of its connection ends it.
+fn ends_with_connection<B>(response: &Response<B>) -> bool {
+    let headers = response.headers();
+    let is_framed = |name| headers.contains_key(name);
+    ![header::CONTENT_LENGTH, header::TRANSFER_ENCODING].into_iter().any(is_framed)
+}
+
 /// The end of the first event; an empty line terminates it.
 fn first_event_end(bytes: &[u8]) -> Option<usize> {
     let newlines = memchr::memchr_iter(b'\n', bytes);
