Find the part of a prompt that ends servers and refuse calls with it everywhere

Cause: nothing tied the end of a server to what the call held. Each router took it for the server's fault and tried the next one, up to three a call; the next call with the part began anew at each of the routers.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -38,6 +38,15 @@
         /// The new state of the roll-out.
         after: PoolRollout,
     },
+    /// Blocks calls with a part of a prompt; does not change the configuration's revision.
+    BlockPart {
+        /// The id of the part.
+        part: u64,
+        /// The observations behind the decision, as text for operators.
+        evidence: String,
+    },
+    /// Lets calls with a part through again.
+    ClearPart(u64),
 }
 
 /// The result of applying a [`ControlCommand`].
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! the leader's table of router leases.
 
 mod answer_stats;
+mod blocked_parts;
 mod call_kind;
 mod caller_limits;
 mod command;
@@ -26,6 +27,7 @@
 mod version;
 
 pub use answer_stats::{AnswerStats, AnswerStatsEntry, StatKey};
+pub use blocked_parts::{BlockedPart, BlockedParts};
 pub use call_kind::CallKind;
 pub use caller_limits::CallerLimits;
 pub use command::{ControlCommand, ControlOutcome};
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,7 +1,8 @@
 use super::ticket_history::TicketHistory;
 use super::{
-    Config, ControlCommand, ControlOutcome, ObjectName, PoolRollout, Rollout, RouteTable,
-    StatsSummary, Ticket, TicketAnswer, TicketRecord, TicketRefusal, VersionState, validate,
+    BlockedParts, Config, ControlCommand, ControlOutcome, ObjectName, PoolRollout, Rollout,
+    RouteTable, StatsSummary, Ticket, TicketAnswer, TicketRecord, TicketRefusal, VersionState,
+    validate,
 };
 use crate::name::VersionKey;
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,10 @@
     /// The last fencing number issued.
     fence: u64,
     summary: StatsSummary,
+    /// Not part of the state's own encoding, which earlier builds read: see
+    /// [`crate::group::ReplicatedState::snapshot`].
+    #[serde(skip)]
+    pub(crate) blocked_parts: BlockedParts,
 }
 
 impl ControlState {
@@ -49,6 +54,11 @@
         &self.summary
     }
 
+    /// Parts of prompts that are blocked.
+    pub fn blocked_parts(&self) -> &BlockedParts {
+        &self.blocked_parts
+    }
+
     /// Versions that were stopped, each with the evidence.
     pub fn stopped_versions(&self) -> impl Iterator<Item = (&VersionKey, &str)> {
         self.stop_evidence.iter().map(|(version, evidence)| (version, evidence.as_str()))
@@ -77,6 +87,14 @@
             ControlCommand::AdvancePoolRollout { before, after } => {
                 self.advance_pool_rollout(&before, after)
             }
+            ControlCommand::BlockPart { part, evidence } => {
+                self.blocked_parts.block(part, evidence);
+                ControlOutcome::Unchanged
+            }
+            ControlCommand::ClearPart(part) => {
+                self.blocked_parts.clear(part);
+                ControlOutcome::Unchanged
+            }
         }
     }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon process: startup, shutdown, the server for other daemons, and the background tasks of
 //! routers and leaders.
 
+mod deadly_parts;
 mod leader_leases;
 mod leader_pools;
 mod lease_renewal;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,3 +1,4 @@
+use super::deadly_parts::LeaderParts;
 use super::leader_leases::LeaderLeases;
 use super::leader_pools::LeaderPools;
 use crate::consensus::{Member, Members};
@@ -33,6 +34,8 @@
     pub aggregator: Mutex<Option<StatsAggregator>>,
     /// VM list and pool statistics that the leader keeps for daemons of role router.
     pub pools: LeaderPools,
+    /// Evidence against parts of prompts, which the leader collects.
+    pub parts: LeaderParts,
     /// The configuration and the VM list as distributed to routers.
     pub publisher: Publisher,
     /// Renders the metrics of this process.
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -5,7 +5,8 @@
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
     EventResponse, LeaseRequest, LeaseResponse, NodeStatus, OperatorRequest, OperatorResponse,
-    Peer, PeerIdentity, PostcardCodec, RenewRequest, RenewResponse, SubmitResponse, accept,
+    PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec, RenewRequest, RenewResponse,
+    SubmitResponse, accept,
 };
 use bytes::Bytes;
 use futures::StreamExt;
@@ -60,6 +61,13 @@
         self.0.renew(request).await
     }
 
+    async fn share_parts(self, _: Context, report: PartReport) -> PartResponse {
+        if !self.0.cluster.control().status().leading {
+            return PartResponse::NotLeader { address: self.0.leader_address() };
+        }
+        self.0.share_parts(report).await
+    }
+
     async fn operate(self, _: Context, request: OperatorRequest) -> OperatorResponse {
         if !self.0.cluster.control().status().leading {
             return OperatorResponse::NotLeader { leader: self.0.leader() };
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -1,3 +1,4 @@
+use super::deadly_parts::LeaderParts;
 use super::leader_pools::LeaderPools;
 use super::lease_renewal::renew_lease;
 use super::ledger_maintenance::maintain_ledgers;
@@ -100,6 +101,7 @@
         leases: Mutex::new(None),
         aggregator: Mutex::new(None),
         pools: LeaderPools::default(),
+        parts: LeaderParts::default(),
         publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -2,6 +2,7 @@
 //! parsed by an [`OperatorFormat`].
 
 use super::Node;
+use super::deadly_parts::{LeaderParts, block_deadly_parts};
 use super::leader_pools::LeaderPools;
 use super::membership::maintain_members;
 use super::peer_server::serve_peers;
@@ -63,6 +64,7 @@
     tokio::spawn(refresh_vm_list(node.clone(), source));
     tokio::spawn(manage_pool_rollouts(node.clone()));
     tokio::spawn(publish_changes(node.clone()));
+    tokio::spawn(block_deadly_parts(node.clone()));
     tokio::spawn(run_log_loop(node.journal.clone()));
     tokio::spawn(serve_with_format(node.clone(), format, operators));
     run_until_stopped(&node, signals).await;
@@ -93,6 +95,7 @@
         leases: Mutex::new(None),
         aggregator: Mutex::new(None),
         pools: LeaderPools::default(),
+        parts: LeaderParts::default(),
         publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -58,6 +58,9 @@
         }
         Access::Denied => return Err(GatewayError::InvalidKey),
     };
+    if let Some(part) = gateway.parts.blocked_part(&head) {
+        return Err(GatewayError::PartBlocked(part));
+    }
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let deadline = started + timeout;
     let body = read_body(body, index.limits(), deadline.min(started + RECEIVE_TIMEOUT)).await?;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -2,10 +2,11 @@
 
 use super::accept::{accept, parts_for_model};
 use super::exchange::{Exchange, SendOutcome};
-use super::response::{ResponseBody, full_body, strip_hop_headers};
+use super::response::{ResponseBody, full_body, may_carry_events, strip_hop_headers};
 use super::server_selection::{SelectedServer, SelectionCriteria, stable_hash};
-use super::stream_relay::{StreamRelay, may_carry_events, relay_stream};
+use super::stream_relay::{StreamRelay, relay_stream};
 use super::{Access, Gateway, GatewayError, RequestHead, RouteIndex};
+use crate::backend::BodyError;
 use crate::control::{ConfiguredRoute, KeyHash};
 use crate::name::{ModelName, OrganisationName, PoolName, VmName};
 use crate::policy::accepts_answer;
@@ -148,6 +149,9 @@
     let read = exchange.response.body_mut().read_whole(MAX_RESPONSE_BYTES, &mut share).await;
     let body = read.map_err(|error| {
         exchange.in_flight.server.record_failure();
+        if let BodyError::Interrupted(_) = error {
+            exchange.server_ended();
+        }
         error.to_string()
     })?;
     let mut response = Response::new(full_body(body));
@@ -173,6 +177,13 @@
             if history.sends > 0 && !self.may_retry(history) {
                 return Err(self.final_error(history));
             }
+            // The part may have been found while the call was under way.
+            if let Some(part) = self.gateway.parts.blocked_part(&self.head) {
+                return Err(match &history.last_failure {
+                    Some(cause) => GatewayError::ResponseLost(cause.clone()),
+                    None => GatewayError::PartBlocked(part),
+                });
+            }
             let selected = self.select_server(&history.servers);
             let Some(selected) = selected.filter(|_| history.servers.len() < MAX_SERVERS_TRIED)
             else {
@@ -274,6 +285,12 @@
 
     /// Whether the call may be sent to another server: route, attempt limit and deadline allow it.
     pub(super) fn may_retry(&self, history: &AttemptHistory) -> bool {
+        let ends_servers =
+            history.last_failure.is_some() && self.gateway.parts.is_suspect(&self.head);
+        if ends_servers {
+            log::info!("call {}: not tried again, as its prompt may end servers", self.log_id());
+            return false;
+        }
         let is_repeatable = history.last_failure.is_none() || self.route.kind.is_retry_safe();
         is_repeatable && history.sends < self.route.max_attempts && Instant::now() < self.deadline
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,8 @@
 //! One call at one backend server, up to the head of its response.
 
 use super::call::Call;
-use super::response::strip_hop_headers;
+use super::part_watch::RunRecord;
+use super::response::{ends_with_connection, strip_hop_headers};
 use super::response_timeout::ResponseTimeout;
 use super::route_permit::RoutePermit;
 use super::server_selection::SelectedServer;
@@ -46,6 +47,7 @@
     /// How long the first event of a stream may take.
     pub timeout: ResponseTimeout,
     sent_at: Instant,
+    run: RunRecord,
     /// The budget that the bytes held of the response count towards.
     pub buffers: Arc<ByteBudget>,
     connection: PooledConnection,
@@ -58,11 +60,27 @@
             true => CallOutcome::Failure,
             false => CallOutcome::Success,
         });
+        // The end of a connection is no proof that the server lives.
+        if self.response.status().is_success() && !ends_with_connection(&self.response) {
+            self.run.answered();
+        }
         let keep_alive =
             self.head.keep_alive.map(|keep_alive| keep_alive.saturating_sub(KEEP_ALIVE_MARGIN));
         self.connection.return_to_pool_for(keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE));
     }
 
+    /// An event of the answer has arrived.
+    pub fn event_received(&mut self, event: u64) {
+        self.recorder.event_received(event);
+        self.run.answer_received();
+    }
+
+    /// The server ended, or broke its answer off.
+    pub fn server_ended(&mut self) {
+        let age = self.sent_at.elapsed();
+        self.run.server_ended(&self.in_flight.server.vm.name, age);
+    }
+
     /// Discards the response, as its model's confidence is too low. The connection is closed, so
     /// that the server notices at once.
     pub fn discard(mut self: Box<Self>) {
@@ -119,6 +137,7 @@
         let (route, pool) = (self.route.clone(), self.pool.clone());
         connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
         let request = self.request(&server.vm.name, last_event);
+        let mut run = self.gateway.parts.begin_run(&self.head);
         let sent_at = Instant::now();
         let result = self.wait_for_response(timeout, connection.send_unchanged(request)).await;
         let response = match result {
@@ -126,6 +145,7 @@
             Ok(Err(SendError::NotSent(cause))) => return SendOutcome::NotSent(cause),
             Ok(Err(SendError::MaybeSent(cause))) => {
                 server.record_failure();
+                run.server_ended(&server.vm.name, sent_at.elapsed());
                 server.pause();
                 return SendOutcome::Lost(cause);
             }
@@ -179,6 +199,7 @@
             recorder,
             timeout,
             sent_at,
+            run,
             buffers: self.gateway.buffers.clone(),
             connection,
         }))
--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -2,6 +2,9 @@
 use std::time::Duration;
 use thiserror::Error;
 
+/// When a caller may ask again with a part that ends servers. An operator has to clear it first.
+const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(600);
+
 /// Why a call got no response from a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum GatewayError {
@@ -31,6 +34,12 @@
     /// The deadline passed before the call was sent.
     #[error("the deadline passed before the call was sent; retry with a longer timeout")]
     NotSentInTime,
+    /// Servers have ended under calls with a part of this prompt.
+    #[error(
+        "part {0:x} of the prompt ends the servers that answer it, so it is sent to none; \
+         leave it out, or ask an operator to clear it"
+    )]
+    PartBlocked(u64),
     /// No route matches the host and path.
     #[error("there is no route for {0}; check the host and path")]
     NoRoute(String),
@@ -64,6 +73,7 @@
             GatewayError::NoServer(_)
             | GatewayError::ServersBackingOff { .. }
             | GatewayError::ServersFull
+            | GatewayError::PartBlocked(_)
             | GatewayError::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             GatewayError::NoRoute(_) => StatusCode::NOT_FOUND,
             GatewayError::InvalidKey => StatusCode::UNAUTHORIZED,
@@ -84,6 +94,7 @@
             }
             GatewayError::ServersBackingOff { wait, .. } => Some(*wait),
             GatewayError::Starting => Some(Duration::from_secs(1)),
+            GatewayError::PartBlocked(_) => Some(BLOCKED_RETRY_DELAY),
             _ => None,
         }
     }
@@ -98,6 +109,7 @@
             GatewayError::ServersBackingOff { .. } => "backoff",
             GatewayError::ServersFull => "full",
             GatewayError::NotSentInTime => "late",
+            GatewayError::PartBlocked(_) => "part_blocked",
             GatewayError::NoRoute(_) => "no_route",
             GatewayError::InvalidKey => "no_key",
             GatewayError::Malformed(_) => "malformed",
--- a/src/gateway/header_format.rs
+++ b/src/gateway/header_format.rs
@@ -24,6 +24,14 @@
     pub last_event: Option<u64>,
 }
 
+impl RequestHead {
+    /// The ids of the parts that other requests may share.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id)
+    }
+}
+
 /// The model that a caller asks for.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum RequestedModel {
--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -1,6 +1,7 @@
 //! Keeps this router's lease alive; its configuration and VM list arrive with the renewals.
 
 use super::Gateway;
+use super::part_loop::{LeaderConnection, knows_parts, share_once, share_parts};
 use super::voters::Voters;
 use crate::control::{Config, PoolRolloutStatus, RouterId};
 use crate::distribution::{Chunk, ReceiveError, RouterState};
@@ -17,6 +18,7 @@
 use std::time::{Duration, Instant};
 use tarpc::client::RpcError;
 use tarpc::context;
+use tokio::sync::watch;
 
 /// Time allowed for a response on top of `renew`, for which the leader may hold the request.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
@@ -38,6 +40,8 @@
     /// When this router learned of a configuration that it does not have yet.
     outdated_since: Option<Duration>,
     had_lease: bool,
+    /// The connection on which the lease was renewed last.
+    leader: watch::Sender<LeaderConnection>,
 }
 
 /// Renews the lease in an endless loop.
@@ -52,13 +56,17 @@
         list_digest: 0,
         outdated_since: None,
         had_lease: false,
+        leader: watch::Sender::new(None),
     };
+    let (gateway, leader) = (lease_loop.gateway.clone(), lease_loop.leader.subscribe());
+    tokio::spawn(share_parts(gateway, lease_loop.router_id(), leader));
     loop {
         let renewed = lease_loop.renew().await;
         lease_loop.record_lease_change();
         lease_loop.gateway.update_started();
         if !renewed {
             lease_loop.voters.connection = None;
+            lease_loop.leader.send_replace(None);
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
@@ -71,10 +79,18 @@
             return false;
         }
         let Some((address, peer)) = self.voters.connection.clone() else { return false };
+        // What ends servers is learned before the first calls are accepted.
+        let is_new = self.leader.borrow().is_none();
+        if is_new && knows_parts(&peer) {
+            share_once(&self.gateway, &self.router_id(), &peer, false).await;
+        }
         let renewed = match peer.version >= ProtocolVersion::STATE_CHANGES {
             true => self.renew_with_changes(address, &peer.client).await,
             false => self.renew_with_whole_state(address, &peer.client).await,
         };
+        if is_new && matches!(renewed, Ok(true)) {
+            self.leader.send_replace(Some(peer));
+        }
         renewed.unwrap_or_else(|error| {
             log::info!("lease request to voter {address} failed: {error}");
             self.voters.mark_failed(address);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,8 @@
 mod http_server;
 mod lease_loop;
 mod leaving_servers;
+mod part_loop;
+mod part_watch;
 mod response;
 mod response_timeout;
 mod route_index;
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -6,6 +6,9 @@
 use hyper::body::Frame;
 use std::io;
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// The body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -63,3 +66,21 @@
         headers.remove(name);
     }
 }
+
+/// Whether a response is a stream of events, or names no type and so may be one.
+pub fn may_carry_events<B>(response: &Response<B>) -> bool {
+    media_type(response).is_none_or(|media_type| media_type.eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+/// The media type that a response names, without parameters.
+pub fn media_type<B>(response: &Response<B>) -> Option<&str> {
+    let value = response.headers().get(header::CONTENT_TYPE)?.to_str().ok()?;
+    value.split(';').next().map(str::trim)
+}
+
+/// Whether a response has neither a length nor chunks, so that only the end of its connection ends it.
+pub fn ends_with_connection<B>(response: &Response<B>) -> bool {
+    let headers = response.headers();
+    let is_framed = |name| headers.contains_key(name);
+    ![header::CONTENT_LENGTH, header::TRANSFER_ENCODING].into_iter().any(is_framed)
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,3 +1,4 @@
+use super::part_watch::PartWatch;
 use super::response_timeout::SilenceTracker;
 use super::server_table::ServerTable;
 use super::sessions::Sessions;
@@ -41,6 +42,8 @@
     pub sessions: Sessions,
     /// Call results by version, reported to the voters.
     pub tallies: Arc<Tallies>,
+    /// Parts of prompts that end servers.
+    pub parts: Arc<PartWatch>,
     /// Limits the bytes of responses that are held at the same time.
     pub buffers: Arc<ByteBudget>,
     /// How soon servers count as silent.
@@ -68,6 +71,7 @@
             servers: ServerTable::default(),
             sessions: Sessions::new(settings.fleet_limits.session_timeout * 2),
             tallies: Arc::default(),
+            parts: Arc::default(),
             buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
             silence: Mutex::default(),
             closed: AtomicBool::new(false),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -3,7 +3,9 @@
 use super::call::{AttemptHistory, Call};
 use super::event_splitter::{EventSplitter, StreamEnd};
 use super::exchange::Exchange;
-use super::response::{ResponseBody, stream_body, strip_hop_headers};
+use super::response::{
+    ResponseBody, ends_with_connection, media_type, stream_body, strip_hop_headers,
+};
 use super::response_timeout::Silent;
 use crate::backend::ByteShare;
 use bytes::{Bytes, BytesMut};
@@ -15,8 +17,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The media type of a stream of events.
-const EVENT_STREAM: &str = "text/event-stream";
 /// A stream counts as stalled without an event for the longest of these: a fixed time, and multiples
 /// of the route's targets for the first event and for the gap between events. No caller is expected
 /// to wait longer.
@@ -125,7 +125,7 @@
                         return Err(io::Error::other("too many bytes of responses are held"));
                     }
                     if let Some(event) = self.splitter.last_id() {
-                        exchange.recorder.event_received(event);
+                        exchange.event_received(event);
                     }
                     if !whole.is_empty() {
                         return Ok(Some(whole));
@@ -133,6 +133,7 @@
                 }
                 Some(Err(error)) => {
                     exchange.in_flight.server.record_failure();
+                    exchange.server_ended();
                     return Err(io::Error::other(error));
                 }
                 None => return self.end_of_body(),
@@ -145,7 +146,7 @@
     /// # Errors
     /// If the stream was broken off, although its response ended as its framing demands.
     fn end_of_body(&mut self) -> io::Result<Option<Bytes>> {
-        let Some(exchange) = self.exchange.take() else { return Ok(None) };
+        let Some(mut exchange) = self.exchange.take() else { return Ok(None) };
         let end = self.splitter.end();
         let ends_with_connection = ends_with_connection(&exchange.response);
         if ends_with_connection {
@@ -167,6 +168,9 @@
         };
         if broken {
             exchange.in_flight.server.record_failure();
+            if ends_with_connection {
+                exchange.server_ended();
+            }
             return Err(io::Error::other("the stream ended inside an event or before the first"));
         }
         exchange.finish();
@@ -235,21 +239,3 @@
     });
     response.map(|()| stream_body(frames))
 }
-
-/// Whether a response is a stream of events, or names no type and so may be one.
-pub fn may_carry_events<B>(response: &Response<B>) -> bool {
-    media_type(response).is_none_or(|media_type| media_type.eq_ignore_ascii_case(EVENT_STREAM))
-}
-
-/// The media type that a response names, without parameters.
-fn media_type<B>(response: &Response<B>) -> Option<&str> {
-    let value = response.headers().get(header::CONTENT_TYPE)?.to_str().ok()?;
-    value.split(';').next().map(str::trim)
-}
-
-/// Whether a response has neither a length nor chunks, so that only the end of its connection ends it.
-fn ends_with_connection<B>(response: &Response<B>) -> bool {
-    let headers = response.headers();
-    let is_framed = |name| headers.contains_key(name);
-    ![header::CONTENT_LENGTH, header::TRANSFER_ENCODING].into_iter().any(is_framed)
-}
--- a/src/group/replicated_state.rs
+++ b/src/group/replicated_state.rs
@@ -35,10 +35,11 @@
         Ok(outcome?.into())
     }
 
-    /// Serialises the whole state.
+    /// Serialises the whole state. The blocked parts follow the control state: builds that do not know
+    /// them leave them unread.
     pub fn snapshot(&self) -> Bytes {
         let bytes = match self {
-            ReplicatedState::Control(state) => postcard::to_stdvec(state),
+            ReplicatedState::Control(state) => postcard::to_stdvec(&(state, state.blocked_parts())),
             ReplicatedState::Ledger(state) => postcard::to_stdvec(state),
         };
         bytes.expect("replicated state must be serialisable").into()
@@ -50,7 +51,13 @@
     /// If the snapshot cannot be decoded.
     pub fn restore(&mut self, data: &[u8]) -> Result<(), StateDecodeError> {
         match self {
-            ReplicatedState::Control(state) => *state = postcard::from_bytes(data)?,
+            ReplicatedState::Control(state) => {
+                let (restored, rest): (ControlState, _) = postcard::take_from_bytes(data)?;
+                *state = restored;
+                if !rest.is_empty() {
+                    state.blocked_parts = postcard::from_bytes(rest)?;
+                }
+            }
             ReplicatedState::Ledger(state) => *state = postcard::from_bytes(data)?,
         }
         Ok(())
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod link;
 mod message;
 mod outbox;
+mod part_report;
 mod peer_links;
 mod postcard_codec;
 mod protocol_version;
@@ -22,6 +23,7 @@
     OperatorRequest, OperatorResponse, PoolReport, PoolUpdate, StoppedVersion, SubmitResponse,
 };
 pub use outbox::dispatch_outbox;
+pub use part_report::{PartReport, PartResponse};
 pub use peer_links::PeerLinks;
 pub use postcard_codec::PostcardCodec;
 pub use protocol_version::ProtocolVersion;
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -10,6 +10,8 @@
     pub const FIRST: Self = Self(0);
     /// Since this version, daemons send changes of the state with lease renewals.
     pub const STATE_CHANGES: Self = Self(1);
+    /// Since this version, daemons exchange what they know of parts of prompts that end servers.
+    pub const DEADLY_PARTS: Self = Self(2);
     /// The version of this build.
-    pub const CURRENT: Self = Self::STATE_CHANGES;
+    pub const CURRENT: Self = Self::DEADLY_PARTS;
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -4,7 +4,7 @@
 
 use super::{
     EventResponse, LeaseRequest, LeaseResponse, NodeStatus, OperatorRequest, OperatorResponse,
-    PeerIdentity, RenewRequest, RenewResponse, SubmitResponse,
+    PartReport, PartResponse, PeerIdentity, RenewRequest, RenewResponse, SubmitResponse,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -30,4 +30,7 @@
     /// Renews the lease of a routing-only daemon, if this daemon leads the control group, and sends
     /// a part of the state that the router lacks. Needs protocol version 1.
     async fn renew(request: RenewRequest) -> RenewResponse;
+    /// Counts what a router knows of parts of prompts that end servers, if this daemon leads the
+    /// control group, and returns what all know. Needs protocol version 2.
+    async fn share_parts(report: PartReport) -> PartResponse;
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod geometric_mean;
 mod kind_key;
 mod model_ref;
+mod part_suspicion;
 mod pick_server;
 mod pool_retry_budget;
 mod pool_rollout;
@@ -38,6 +39,7 @@
 pub use geometric_mean::GeometricMean;
 pub use kind_key::KindKey;
 pub use model_ref::ModelRef;
+pub use part_suspicion::{DeadlyPart, PartSuspicion, RunEnd};
 pub use pick_server::{BalancePolicy, ServerCandidate, pick_server};
 pub use pool_retry_budget::PoolRetryBudget;
 pub use pool_rollout::{is_canary, next_pool_rollout, rollback_reason};
