--- a/src/daemon/pool_rollouts.rs
+++ b/src/daemon/pool_rollouts.rs
@@ -5,7 +5,7 @@
 use crate::event::Event;
 use crate::group::since_start;
 use crate::name::PoolName;
-use crate::policy::{next_pool_rollout, rollback_reason};
+use crate::policy::{next_pool_rollout, rollback_reason, rollout_evidence};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,6 +85,7 @@
     if !changed || (share == before.share && status == before.status) {
         return;
     }
+    log::info!("roll-out of pool {rollout} at {share}: {}", rollout_evidence(before, &tallies));
     let evidence = rollback_reason(before, &tallies);
     node.journal.record(Event::PoolShifted { rollout, share, evidence });
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -42,7 +42,7 @@
 pub use part_suspicion::{DeadlyPart, PartSuspicion, RunEnd};
 pub use pick_server::{BalancePolicy, ServerCandidate, pick_server};
 pub use pool_retry_budget::PoolRetryBudget;
-pub use pool_rollout::{is_canary, next_pool_rollout, rollback_reason};
+pub use pool_rollout::{is_canary, next_pool_rollout, rollback_reason, rollout_evidence};
 pub use prefix_table::{PrefixKeys, PrefixTable};
 pub use quality_estimate::QualityEstimate;
 pub use retry_budget::RetryBudget;
--- a/src/policy/pool_rollout.rs
+++ b/src/policy/pool_rollout.rs
@@ -3,6 +3,7 @@
 use super::{GeometricMean, Tally};
 use crate::control::{PoolRollout, PoolRolloutStatus};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::Duration;
 
 /// Schedule of the target's share: from the first number (a fraction of the time limit) on, the
@@ -90,6 +91,44 @@
     }
 }
 
+/// Calls of some versions on one route and model.
+#[derive(Debug, Clone, Copy, Default)]
+struct Stratum {
+    counts: CallCounts,
+    running: u64,
+    first_ratio: GeometricMean,
+    event_gap: GeometricMean,
+}
+
+impl Stratum {
+    fn add(&mut self, tally: &Tally) {
+        self.counts.add(tally);
+        self.running += tally.running;
+        self.first_ratio.add(tally.first_ratio);
+        self.event_gap.add(tally.event_gap);
+    }
+
+    fn calls(&self) -> u64 {
+        self.counts.succeeded + self.counts.failed + self.running
+    }
+}
+
+impl fmt::Display for Stratum {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { counts, running, first_ratio, event_gap } = self;
+        write!(
+            f,
+            "{} good {} failed {running} running, first event {:.2} of {}, gap {:.1} ms of {}",
+            counts.succeeded,
+            counts.failed,
+            first_ratio.value(),
+            first_ratio.count,
+            event_gap.value(),
+            event_gap.count
+        )
+    }
+}
+
 /// Calls of the target and of the versions that it replaces.
 #[derive(Debug, Clone, Copy, Default)]
 struct VersionPair {
@@ -215,6 +254,23 @@
     ratios.filter(|ratio| *ratio > thresholds.fastest_ratio).reduce(f64::max)
 }
 
+/// What is known of the target and the old versions on each route and model, as text for operators.
+pub fn rollout_evidence(rollout: &PoolRollout, tallies: &[Tally]) -> String {
+    let in_pool = tallies.iter().filter(|tally| tally.pool == rollout.pool);
+    let mut strata: BTreeMap<_, [Stratum; 2]> = BTreeMap::new();
+    for tally in in_pool {
+        let is_target = tally.version.as_ref() == Some(&rollout.target);
+        let model = tally.model.as_ref().map_or("-", |model| model.as_str());
+        let pair = strata.entry((&tally.route, model)).or_default();
+        pair[usize::from(is_target)].add(tally);
+    }
+    let lines = strata.iter().filter(|(_, [_, new])| new.calls() > 0);
+    let lines: Vec<String> = lines
+        .map(|((route, model), [old, new])| format!("{route} {model}: {new}, before {old}"))
+        .collect();
+    lines.join("; ")
+}
+
 /// Whether the roll-out is in its first half, the canary phase, in which sessions stay on the old
 /// version and the target only gets calls without a session. A router that sees only some of a
 /// session's calls cannot tell which sessions are new.
