Complete a roll-out only if the calls so far rule out that the target is slow

Cause: before a target gets all calls, which cannot be taken back, it was rolled back only on proof that it is slow. With some 20 calls there is little, and the slowest of them were not counted, as a time was recorded when the response came: 15 of 26 calls still ran. Also a good target has little load and gaps of 0.35 to 0.6 of the old version's, so the same times as before are already suspect. Change: waiting calls count with the time until now; the last step asks that 1.6 times the old version's times be ruled out. Tests: the case of few calls of a_slow_version_is_kept_from_completion failed before (0.942 kept, 0.97 asked), good versions are rarely kept back; five and two cases.

--- a/src/gateway/tallies.rs
+++ b/src/gateway/tallies.rs
@@ -1,6 +1,7 @@
 use crate::name::{ModelName, PoolName, VersionName};
 use crate::policy::{GeometricMean, Tally};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -27,6 +28,29 @@
 #[derive(Debug, Default)]
 pub struct Tallies {
     counts: Mutex<BTreeMap<TallyKey, Tally>>,
+    /// Calls whose response has not started.
+    waiting: Mutex<HashMap<u64, WaitingCall>>,
+    next_id: AtomicU64,
+}
+
+/// A call whose response has not started.
+#[derive(Debug)]
+struct WaitingCall {
+    key: TallyKey,
+    started: Instant,
+    baseline_ms: f64,
+}
+
+impl WaitingCall {
+    /// The ratio of the time so far to the expected time.
+    fn latency_ratio(&self) -> f64 {
+        latency_ratio(self.started, self.baseline_ms)
+    }
+}
+
+fn latency_ratio(started: Instant, baseline_ms: f64) -> f64 {
+    let millis = started.elapsed().as_secs_f64() * 1e3;
+    (millis.max(1.0) / baseline_ms.max(1.0)).clamp(MIN_RATIO, MAX_RATIO)
 }
 
 /// How a call ended, as evidence about the version that served it.
@@ -44,6 +68,7 @@
 #[derive(Debug)]
 pub struct CallRecorder {
     tallies: Arc<Tallies>,
+    id: u64,
     key: TallyKey,
     outcome: CallOutcome,
     started: Instant,
@@ -87,8 +112,12 @@
         };
         self.update(&key, |tally| tally.running += 1);
         let (outcome, started) = (CallOutcome::Unknown, Instant::now());
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let waiting = WaitingCall { key: key.clone(), started, baseline_ms };
+        self.waiting.lock().expect("waiting calls lock").insert(id, waiting);
         CallRecorder {
             tallies: self.clone(),
+            id,
             key,
             outcome,
             started,
@@ -98,13 +127,30 @@
         }
     }
 
-    /// The tallies of all pools that satisfy `predicate`.
+    /// The tallies of all pools that satisfy `predicate`. A call that waits for longer than expected
+    /// counts with the time until now: the slowest responses are those that are still to come.
     pub fn of_pools<F>(&self, predicate: F) -> Vec<Tally>
     where
         F: Fn(&PoolName) -> bool,
     {
         let counts = self.counts.lock().expect("tally lock");
-        counts.values().filter(|tally| predicate(&tally.pool)).cloned().collect()
+        let selected = counts.iter().filter(|(key, _)| predicate(&key.pool));
+        let mut tallies: BTreeMap<&TallyKey, Tally> =
+            selected.map(|(key, tally)| (key, tally.clone())).collect();
+        if tallies.is_empty() {
+            return Vec::new();
+        }
+        for call in self.waiting.lock().expect("waiting calls lock").values() {
+            let ratio = call.latency_ratio();
+            if let Some(tally) = tallies.get_mut(&call.key).filter(|_| ratio > 1.0) {
+                tally.first_ratio.observe(ratio);
+            }
+        }
+        tallies.into_values().collect()
+    }
+
+    fn end_wait(&self, id: u64) {
+        self.waiting.lock().expect("waiting calls lock").remove(&id);
     }
 
     fn update<F>(&self, key: &TallyKey, change: F)
@@ -134,6 +180,7 @@
     pub fn response_started(&mut self) -> f64 {
         let latency_ratio = self.latency_ratio();
         if !std::mem::replace(&mut self.latency_recorded, true) {
+            self.tallies.end_wait(self.id);
             self.record_ratio(latency_ratio);
         }
         latency_ratio
@@ -141,8 +188,7 @@
 
     /// The ratio of the time so far to the expected time.
     fn latency_ratio(&self) -> f64 {
-        let millis = self.started.elapsed().as_secs_f64() * 1e3;
-        (millis.max(1.0) / self.baseline_ms.max(1.0)).clamp(MIN_RATIO, MAX_RATIO)
+        latency_ratio(self.started, self.baseline_ms)
     }
 
     fn record_ratio(&self, latency_ratio: f64) {
@@ -184,6 +230,7 @@
 
 impl Drop for CallRecorder {
     fn drop(&mut self) {
+        self.tallies.end_wait(self.id);
         // A call that ended without a response took at least the time until now.
         let latency_ratio = self.latency_ratio();
         if !self.latency_recorded && latency_ratio > 1.0 {
--- a/src/policy/pool_rollout.rs
+++ b/src/policy/pool_rollout.rs
@@ -32,6 +32,11 @@
 /// harmonic mean of the numbers of answers of both versions.
 const MIN_TIME_WEIGHT: f64 = 3.0;
 
+/// A target may get all calls only if times this much longer than the old version's are ruled out.
+const COMPLETION_TIME_RATIO: f64 = 1.6;
+/// How far the measured ratio has to lie below that, in standard errors of its logarithm.
+const COMPLETION_MARGIN: f64 = 1.0;
+
 /// Thresholds at which a target is found bad.
 #[derive(Debug, Clone, Copy)]
 struct Thresholds {
@@ -164,16 +169,39 @@
     }
 }
 
-/// Ratio of the target's to the old version's times, where `time` selects which times of a tally
-/// are compared; `None` unless the target is significantly slower. Times differ by route and model,
-/// so each route and model is compared on its own and the results are averaged, weighted by the
-/// number of answers (a stratified comparison).
-fn slowdown<F>(
-    rollout: &PoolRollout,
-    tallies: &[&Tally],
-    thresholds: Thresholds,
-    time: F,
-) -> Option<f64>
+/// Times of the target against the old version's.
+#[derive(Debug, Clone, Copy)]
+struct TimeComparison {
+    /// Mean logarithm of the ratio of the target's times to the old version's.
+    mean: f64,
+    /// Total weight of the strata: the number of answers that the mean is worth.
+    weight: f64,
+}
+
+impl TimeComparison {
+    /// Standard error of the mean.
+    fn error(&self) -> f64 {
+        LOG_TIME_STD_DEV / self.weight.sqrt()
+    }
+
+    /// The ratio, if the target is significantly slower.
+    fn slowdown(&self, thresholds: Thresholds) -> Option<f64> {
+        let is_known = self.weight >= MIN_TIME_WEIGHT;
+        let is_significant = self.mean > thresholds.time_deviations * self.error();
+        let is_slow = is_known && is_significant && self.mean > thresholds.time_ratio.ln();
+        is_slow.then(|| self.mean.exp())
+    }
+
+    /// Whether the target may still be too slow to get all calls.
+    fn may_be_slow(&self) -> bool {
+        self.mean + COMPLETION_MARGIN * self.error() > COMPLETION_TIME_RATIO.ln()
+    }
+}
+
+/// Compares times of the target and the old version, where `time` selects which times of a tally;
+/// `None` without any. Times differ by route and model, so each route and model is compared on its
+/// own and the results are averaged, weighted by the number of answers (a stratified comparison).
+fn compare_times<F>(rollout: &PoolRollout, tallies: &[&Tally], time: F) -> Option<TimeComparison>
 where
     F: Fn(&Tally) -> GeometricMean,
 {
@@ -191,12 +219,26 @@
         sum += part * (new.value() / old.value()).ln();
         weight += part;
     }
-    if weight < MIN_TIME_WEIGHT {
-        return None;
-    }
-    let mean = sum / weight.max(f64::MIN_POSITIVE);
-    let significant = mean * weight.sqrt() > thresholds.time_deviations * LOG_TIME_STD_DEV;
-    (significant && mean > thresholds.time_ratio.ln()).then(|| mean.exp())
+    (weight > 0.0).then(|| TimeComparison { mean: sum / weight, weight })
+}
+
+/// Why the target must not get all calls; `None` if it may. That cannot be taken back, so what the
+/// calls so far do not rule out counts against the target.
+fn completion_doubt(rollout: &PoolRollout, tallies: &[Tally]) -> Option<String> {
+    let all: Vec<&Tally> = tallies.iter().collect();
+    let times = [
+        compare_times(rollout, &all, |tally| tally.first_ratio),
+        compare_times(rollout, &all, |tally| tally.event_gap),
+    ];
+    let doubt = || times.into_iter().flatten().find(TimeComparison::may_be_slow);
+    reason_at(rollout, tallies, COMPLETION_THRESHOLDS).or_else(|| {
+        let TimeComparison { mean, weight } = doubt()?;
+        let (ratio, most) = (mean.exp(), COMPLETION_TIME_RATIO);
+        Some(format!(
+            "answers take {ratio:.1} times as long as before; the {weight:.1} compared do not rule \
+             out {most} times"
+        ))
+    })
 }
 
 /// Why the target of a roll-out is found bad; `None` if it is not. It is tested on each route and
@@ -224,8 +266,10 @@
             pair.old.failure_rate()
         ));
     }
-    let first = slowdown(rollout, tallies, thresholds, |tally| tally.first_ratio);
-    let ratio = first.or_else(|| slowdown(rollout, tallies, thresholds, |tally| tally.event_gap));
+    let first = compare_times(rollout, tallies, |tally| tally.first_ratio);
+    let gap = compare_times(rollout, tallies, |tally| tally.event_gap);
+    let mut compared = [first, gap].into_iter().flatten();
+    let ratio = compared.find_map(|times| times.slowdown(thresholds));
     let ratio = ratio.or_else(|| fastest_slowdown(rollout, tallies, thresholds));
     ratio.map(|ratio| format!("answers take {ratio:.1} times as long as those of the old version"))
 }
@@ -314,7 +358,7 @@
     let share = share_at(passed, exposure);
     if share == ALL_PERMILLE
         && rollout.share < ALL_PERMILLE
-        && reason_at(rollout, tallies, COMPLETION_THRESHOLDS).is_some()
+        && completion_doubt(rollout, tallies).is_some()
     {
         return next(0, PoolRolloutStatus::RolledBack);
     }
--- a/tests/pool_rollout.rs
+++ b/tests/pool_rollout.rs
@@ -234,6 +234,94 @@
     assert!(rolled_back <= MAX_ROLLED_BACK, "{rolled_back} of {RUNS}");
 }
 
+/// Calls of a roll-out as they are known when the target is to get all of them.
+#[derive(Debug, Clone, Copy)]
+struct Evidence {
+    /// First events and gaps that are known of the target, in all.
+    first_events: usize,
+    gaps: usize,
+    /// The share of the target's calls that take longer, and how much longer, as a factor.
+    slow_share: f64,
+    slow_factor: f64,
+    /// Standard deviation of the logarithm of a time.
+    noise: f64,
+}
+
+impl Evidence {
+    /// Whether the target is kept from all calls.
+    fn is_kept(&self, rng: &mut rand_pcg::Pcg64Mcg) -> bool {
+        let strata =
+            ["a", "b", "c"].into_iter().flat_map(|route| [(route, "small"), (route, "large")]);
+        let mut tallies: Vec<Tally> = Vec::new();
+        for (index, (route, model)) in strata.enumerate() {
+            let of_route = |count: usize| count / 6 + usize::from(index < count % 6);
+            let old = RouteOutcomes { route, model, succeeded: 0, failed: 0, ..OLD };
+            let (mut before, mut target) =
+                (tally(old), tally(RouteOutcomes { version: "v2", ..old }));
+            (0..70).for_each(|_| before.first_ratio.observe(self.time(0.0, rng)));
+            (0..70).for_each(|_| before.event_gap.observe(self.gap_ms(0.0, rng)));
+            (before.succeeded, target.succeeded) = (70, of_route(self.first_events) as u64);
+            for _ in 0..of_route(self.first_events) {
+                target.first_ratio.observe(self.time(self.slow_share, rng));
+            }
+            for _ in 0..of_route(self.gaps) {
+                target.event_gap.observe(self.gap_ms(self.slow_share, rng));
+            }
+            tallies.extend([before, target]);
+        }
+        let running = PoolRollout { share: 160, ..rollout() };
+        let next = next_pool_rollout(&running, &tallies, ROLLOUT_LIMIT, MAX_EXPOSURE).unwrap();
+        next.status == PoolRolloutStatus::RolledBack
+    }
+
+    /// A gap has a least length, the time of one step of an idle engine.
+    fn gap_ms(&self, slow_share: f64, rng: &mut rand_pcg::Pcg64Mcg) -> f64 {
+        use rand::Rng;
+        let factor = if rng.random_bool(slow_share) { self.slow_factor } else { 1.0 };
+        factor * (6.0 + 4.0 * self.time(0.0, rng))
+    }
+
+    fn time(&self, slow_share: f64, rng: &mut rand_pcg::Pcg64Mcg) -> f64 {
+        use rand::Rng;
+        // The sum of twelve uniform numbers is close to a normal one with deviation 1.
+        let normal: f64 = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+        let factor = if rng.random_bool(slow_share) { self.slow_factor } else { 1.0 };
+        factor * (self.noise * normal).exp()
+    }
+
+    fn kept_share(&self) -> f64 {
+        use rand::SeedableRng;
+        const RUNS: usize = 1_000;
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(11);
+        (0..RUNS).filter(|_| self.is_kept(&mut rng)).count() as f64 / RUNS as f64
+    }
+}
+
+const SLOW: Evidence =
+    Evidence { first_events: 18, gaps: 8, slow_share: 0.5, slow_factor: 8.0, noise: 0.5 };
+
+/// Guards against a slow version that gets all calls, which cannot be taken back, because the few
+/// calls before did not show it.
+#[rstest]
+#[case::half_of_the_calls(SLOW)]
+#[case::few_calls(Evidence { first_events: 9, gaps: 3, ..SLOW })]
+#[case::noisy_times(Evidence { noise: 0.7, ..SLOW })]
+#[case::all_calls_and_three_times(Evidence { slow_share: 1.0, slow_factor: 3.0, ..SLOW })]
+#[case::many_calls_and_four_times(Evidence { first_events: 40, gaps: 25, slow_factor: 4.0, ..SLOW })]
+fn a_slow_version_is_kept_from_completion(#[case] evidence: Evidence) {
+    let kept = evidence.kept_share();
+    assert!(kept >= 0.97, "{kept} of the slow versions are kept from all calls");
+}
+
+/// A good version must not pay for that, unless there is hardly any evidence.
+#[rstest]
+#[case::usual_calls(SLOW)]
+#[case::many_calls(Evidence { first_events: 60, gaps: 40, noise: 0.7, ..SLOW })]
+fn a_version_that_is_as_fast_is_rarely_kept_from_completion(#[case] evidence: Evidence) {
+    let kept = Evidence { slow_share: 0.0, ..evidence }.kept_share();
+    assert!(kept <= 0.05, "{kept} of the good versions are kept from all calls");
+}
+
 #[test]
 fn the_first_half_is_the_canary_phase() {
     let at = |part: f64| PoolRollout { elapsed: ROLLOUT_LIMIT.mul_f64(part), ..rollout() };
