Show and clear blocked parts with the tool, block none beside an older voter

Cause: a part that was blocked by mistake stayed so, and operators could not see it; a voter of an earlier build cannot read the command. Change: `samphireshift parts [--clear ID]` through any daemon with an operator port; the leader blocks nothing, and says so, while a voter is known by its link to have an earlier protocol version. Not tested with two builds.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -67,6 +67,14 @@
         self.call(Method::POST, path, body)
     }
 
+    /// Sends a DELETE request and returns the document of the response.
+    ///
+    /// # Errors
+    /// Fails if the daemon cannot be reached, does not respond in time or refuses the request.
+    pub fn delete(&self, path: &str) -> Result<Value, Error> {
+        self.call(Method::DELETE, path, Bytes::new())
+    }
+
     fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Value, Error> {
         let request = Request::builder()
             .method(method)
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod events;
 mod options;
+mod parts;
 mod ticket;
 mod timeline_svg;
 mod versions;
@@ -51,6 +52,7 @@
         Command::Versions(_) => versions::show_versions(&Client::new(options)?),
         Command::Rollouts(_) => versions::show_rollouts(&Client::new(options)?),
         Command::Bills(bills) => bills::show_bills(&Client::new(options)?, bills),
+        Command::Parts(args) => parts::run(&Client::new(options)?, args),
         Command::Timeline(timeline) => events::show_timeline(&Client::new(options)?, timeline),
         Command::Explain(explain) => events::explain(&Client::new(options)?, explain),
     }
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -41,6 +41,8 @@
     Rollouts(RolloutsArgs),
     /// Show what organisations were billed.
     Bills(BillsArgs),
+    /// Show or clear blocked parts of prompts.
+    Parts(PartsArgs),
     /// Show events of all daemons.
     Timeline(TimelineArgs),
     /// Explain the history of a request, a ticket or a version.
@@ -149,6 +151,15 @@
     pub organisation: Option<String>,
 }
 
+/// Show the parts of prompts that are blocked because they end servers, with the evidence.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "parts")]
+pub struct PartsArgs {
+    /// let calls with this part (hexadecimal id) through again
+    #[argh(option)]
+    pub clear: Option<String>,
+}
+
 /// Show the events of all daemons in causal order.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "timeline")]
--- a/src/daemon/deadly_parts.rs
+++ b/src/daemon/deadly_parts.rs
@@ -4,7 +4,7 @@
 use super::Node;
 use crate::control::{ControlCommand, RouterId};
 use crate::group::since_start;
-use crate::peer::{PartReport, PartResponse};
+use crate::peer::{PartReport, PartResponse, ProtocolVersion};
 use crate::policy::{DeadlyPart, PartSuspicion};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -114,8 +114,22 @@
         }
     }
 
+    /// Whether a voter cannot read the commands for parts, so that one would stop it.
+    fn has_older_voter(&self) -> bool {
+        let older = self.cluster.peers().members_before(ProtocolVersion::DEADLY_PARTS);
+        let members = self.cluster.control().status().members;
+        members.all().any(|member| older.contains(&member.id))
+    }
+
     async fn block_part(&self, deadly: DeadlyPart) {
         let DeadlyPart { part, evidence } = deadly;
+        if self.has_older_voter() {
+            log::warn!(
+                "part {part:x} of prompts ends servers, but a voter of an earlier build is left; \
+                 upgrade it, then the part is found again: {evidence}"
+            );
+            return;
+        }
         log::warn!("part {part:x} of prompts ends servers, calls with it are refused: {evidence}");
         let command = ControlCommand::BlockPart { part, evidence };
         let bytes = postcard::to_stdvec(&command).expect("commands always serialise");
--- a/src/daemon/operator_requests.rs
+++ b/src/daemon/operator_requests.rs
@@ -131,6 +131,13 @@
             OperatorRequest::PoolRollout(pool) => OperatorResponse::PoolRollout(
                 self.read_control(|state| state.config().pool_rollouts.get(&pool).cloned()),
             ),
+            OperatorRequest::BlockedParts => OperatorResponse::BlockedParts(
+                self.read_control(|state| state.blocked_parts().clone()),
+            ),
+            OperatorRequest::ClearPart(part) => match self.is_blocked(part) {
+                true => self.commit(ControlCommand::ClearPart(part)).await,
+                false => OperatorResponse::UnknownPart,
+            },
             OperatorRequest::LiveRouters => match self.live_routers() {
                 Some(live) => OperatorResponse::LiveRouters(live),
                 None => OperatorResponse::NotLeader { leader: self.leader() },
@@ -138,6 +145,10 @@
         }
     }
 
+    fn is_blocked(&self, part: u64) -> bool {
+        self.read_control(|state| state.blocked_parts().parts.contains_key(&part))
+    }
+
     fn has_pool(&self, pool: &PoolName) -> bool {
         self.read_control(|state| {
             let table = state.config().route_table.as_ref();
@@ -266,6 +277,7 @@
         ControlCommand::StartPoolRollout(rollout) => {
             format!("roll-out of pool {} to {}", rollout.pool, rollout.target)
         }
+        ControlCommand::ClearPart(part) => format!("clearing of part {part:x} of prompts"),
         _ => "a change".to_owned(),
     }
 }
--- a/src/operator/http_server.rs
+++ b/src/operator/http_server.rs
@@ -1,6 +1,6 @@
 use super::{ExplainTarget, collect_timeline, explain};
 use crate::caller::json_response;
-use crate::control::Ticket;
+use crate::control::{BlockedPart, Ticket};
 use crate::daemon::Node;
 use crate::error::Error;
 use crate::event::EventQuery;
@@ -137,6 +137,14 @@
         ("GET", ["v1", "bills", name]) => {
             leader_response(node, OperatorRequest::Bills(OrganisationName::new(*name))).await
         }
+        ("GET", ["v1", "blocked-parts"]) => {
+            leader_response(node, OperatorRequest::BlockedParts).await
+        }
+        ("DELETE", ["v1", "blocked-parts", part]) => {
+            let part = u64::from_str_radix(part, 16)
+                .map_err(|_| bad_request("the part must be a hexadecimal number"))?;
+            leader_response(node, OperatorRequest::ClearPart(part)).await
+        }
         ("GET", ["v1", "timeline"]) => {
             serialize_response(&collect_timeline(node, &parse_event_query(query)?).await)
         }
@@ -196,6 +204,13 @@
         OperatorResponse::UnknownPool => {
             Err(ApiError(404, "unknown pool; check its name".to_owned()))
         }
+        OperatorResponse::BlockedParts(blocked) => {
+            let entry = |(part, blocked): (&u64, &BlockedPart)| serde_json::json!({ "part": format!("{part:x}"), "evidence": blocked.evidence });
+            serialize_response(&blocked.parts.iter().map(entry).collect::<Vec<_>>())
+        }
+        OperatorResponse::UnknownPart => {
+            Err(ApiError(404, "this part is not blocked; check its id".to_owned()))
+        }
         OperatorResponse::NotLeader { .. }
         | OperatorResponse::OutcomeUnknown
         | OperatorResponse::TooFewVoters => Err(ApiError(503, text.to_owned())),
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -34,6 +34,8 @@
     active: RwLock<Option<ActiveConnection>>,
     /// The peer that last responded, and when, since process start.
     last_heard: RwLock<Option<(PeerIdentity, Duration)>>,
+    /// The protocol version of the peer that responded last.
+    version: RwLock<Option<ProtocolVersion>>,
     task: OnceLock<AbortHandle>,
 }
 
@@ -45,8 +47,14 @@
         local: Arc<RwLock<PeerIdentity>>,
         journal: Arc<Journal>,
     ) -> Arc<Self> {
-        let (active, last_heard, task) = (RwLock::default(), RwLock::default(), OnceLock::new());
-        let link = Arc::new(Self { address, created_at: since_start(), active, last_heard, task });
+        let link = Arc::new(Self {
+            address,
+            created_at: since_start(),
+            active: RwLock::default(),
+            last_heard: RwLock::default(),
+            version: RwLock::default(),
+            task: OnceLock::new(),
+        });
         let handle = tokio::spawn(maintain(link.clone(), secret, local, journal));
         link.task.get_or_init(|| handle.abort_handle());
         link
@@ -90,6 +98,11 @@
         self.last_heard.read().expect("link lock poisoned").clone()
     }
 
+    /// The protocol version of the peer that last responded at this address.
+    pub fn version(&self) -> Option<ProtocolVersion> {
+        *self.version.read().expect("link lock poisoned")
+    }
+
     fn set_active(&self, active: Option<ActiveConnection>) {
         if let Some(active) = &active {
             let last_heard = (active.identity.clone(), active.last_heard);
@@ -109,7 +122,8 @@
     loop {
         let identity = local.read().expect("identity lock poisoned").clone();
         if let Some(dialed) = dial(link.address, &secret, &identity, &journal).await {
-            let Dialed { client, identity, .. } = dialed;
+            let Dialed { client, identity, version } = dialed;
+            *link.version.write().expect("link lock poisoned") = Some(version);
             ping_until_failure(&link, client, identity).await;
             link.set_active(None);
             journal.record(Event::PeerSilent { peer: link.address.to_string() });
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,6 +1,6 @@
 use crate::control::{
-    AnswerStatsEntry, Config, Evidence, PoolRollout, RouteTable, RouterId, Ticket, TicketAnswer,
-    TicketRecord,
+    AnswerStatsEntry, BlockedParts, Config, Evidence, PoolRollout, RouteTable, RouterId, Ticket,
+    TicketAnswer, TicketRecord,
 };
 use crate::event::Timestamp;
 use crate::group::{GroupId, SubmitError};
@@ -131,6 +131,10 @@
     StartPoolRollout(PoolRollout),
     /// Returns the latest roll-out of a pool.
     PoolRollout(PoolName),
+    /// Returns the parts of prompts that are blocked.
+    BlockedParts,
+    /// Lets calls with a part through again.
+    ClearPart(u64),
 }
 
 /// The response to an operator's request.
@@ -177,6 +181,10 @@
     RouteTable(Option<Arc<RouteTable>>),
     /// The latest roll-out of the pool, if there is one.
     PoolRollout(Option<PoolRollout>),
+    /// The parts of prompts that are blocked.
+    BlockedParts(BlockedParts),
+    /// The part is not blocked.
+    UnknownPart,
 }
 
 /// What the leader knows of the quality of versions.
--- a/src/peer/peer_links.rs
+++ b/src/peer/peer_links.rs
@@ -1,4 +1,4 @@
-use super::{Link, PeerClient, PeerIdentity};
+use super::{Link, PeerClient, PeerIdentity, ProtocolVersion};
 use crate::consensus::MemberId;
 use crate::event::Journal;
 use crate::name::VmName;
@@ -86,6 +86,13 @@
         self.all().iter().filter_map(|link| link.last_heard()).collect()
     }
 
+    /// The members that were last heard of with an earlier protocol version.
+    pub fn members_before(&self, version: ProtocolVersion) -> Vec<MemberId> {
+        let is_before = |link: &Arc<Link>| link.version().is_some_and(|known| known < version);
+        let links = self.all().into_iter().filter(is_before);
+        links.filter_map(|link| link.last_heard()).map(|(identity, _)| identity.member).collect()
+    }
+
     /// A client to a VM, if its link is connected.
     pub fn client(&self, vm: &VmName) -> Option<PeerClient> {
         self.find_client(|identity| identity.vm == *vm)
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -155,6 +155,10 @@
             Case { arguments: &["check", "entry-0.ini"], code: 0, text: "the settings are valid" },
             Case { arguments: &["check", "broken"], code: 2, text: "not an INI file" },
             Case { arguments: &["found"], code: 1, text: "already belongs to cluster" },
+            Case { arguments: &["parts"], code: 0, text: "no part of a prompt is blocked" },
+            Case { arguments: &["--json", "parts"], code: 0, text: "[]" },
+            Case { arguments: &["parts", "--clear", "5c1e07a2"], code: 1, text: "is not blocked" },
+            Case { arguments: &["parts", "--clear", "here"], code: 2, text: "hexadecimal" },
             Case { arguments: &["nonsense"], code: 2, text: "Unrecognized argument" },
         ],
     );
