--- a/src/daemon/deadly_parts.rs
+++ b/src/daemon/deadly_parts.rs
@@ -2,13 +2,14 @@
 //! report, and has a proved part blocked on all of them.
 
 use super::Node;
+use super::wait::wait_for_news;
 use crate::control::{ControlCommand, RouterId};
 use crate::group::since_start;
 use crate::peer::{PartReport, PartResponse, ProtocolVersion};
 use crate::policy::{DeadlyPart, PartSuspicion};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// The longest that the response to a report is delayed.
@@ -96,22 +97,11 @@
     async fn wait_for_parts(&self, report: &PartReport) {
         let mut applied = self.cluster.control().applied();
         let mut watched = self.parts.watched.subscribe();
-        let deadline = Instant::now() + MAX_WAIT;
-        let has_news = |watched: &[u64]| {
+        let has_news = || {
             let version = self.read_control(|state| state.blocked_parts().version);
-            report.version != Some(version) || report.watched != watched
+            report.version != Some(version) || report.watched != *self.parts.watched.borrow()
         };
-        while !has_news(&watched.borrow_and_update()) {
-            let changed = async {
-                tokio::select! {
-                    changed = applied.changed() => changed.is_ok(),
-                    changed = watched.changed() => changed.is_ok(),
-                }
-            };
-            if !matches!(tokio::time::timeout_at(deadline.into(), changed).await, Ok(true)) {
-                return;
-            }
-        }
+        wait_for_news(&mut applied, &mut watched, MAX_WAIT, has_news).await;
     }
 
     /// Whether a voter cannot read the commands for parts, so that one would stop it.
--- a/src/daemon/leader_leases.rs
+++ b/src/daemon/leader_leases.rs
@@ -4,6 +4,7 @@
 //! one.
 
 use super::Node;
+use super::wait::wait_for_news;
 use crate::control::{Config, LeaseTable, RouterId};
 use crate::group::since_start;
 use crate::name::VmName;
@@ -77,20 +78,12 @@
     async fn wait_for_update(&self, request: &LeaseRequest) {
         let mut applied = self.cluster.control().applied();
         let mut vm_list = self.pools.vm_list.subscribe();
-        let deadline = Instant::now() + self.settings.renewal_interval;
-        while self.read_control(|state| state.config().revision) <= request.revision
-            && !self.pools.has_update(request.pool_report.as_ref())
-        {
-            let changed = async {
-                tokio::select! {
-                    changed = applied.changed() => changed.is_ok(),
-                    changed = vm_list.changed() => changed.is_ok(),
-                }
-            };
-            if !matches!(tokio::time::timeout_at(deadline.into(), changed).await, Ok(true)) {
-                return;
-            }
-        }
+        let has_news = || {
+            self.read_control(|state| state.config().revision) > request.revision
+                || self.pools.has_update(request.pool_report.as_ref())
+        };
+        let limit = self.settings.renewal_interval;
+        wait_for_news(&mut applied, &mut vm_list, limit, has_news).await;
     }
 
     /// Records a router's report on pools, and returns the VM list (if the router has another one),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 mod start;
 mod stop;
 mod voter;
+mod wait;
 
 pub use membership_plan::{KnownVm, MembershipStep, MembershipView};
 pub use node::Node;
--- a/src/daemon/renewals.rs
+++ b/src/daemon/renewals.rs
@@ -1,10 +1,10 @@
 //! The leader's answers to lease renewals of routing-only daemons, with the state that they lack.
 
 use super::Node;
+use super::wait::wait_for_news;
 use crate::control::Config;
 use crate::peer::{RenewRequest, RenewResponse};
 use std::sync::Arc;
-use std::time::Instant;
 
 impl Node {
     /// Renews a router's lease and sends the next part of the configuration and the VM list that it
@@ -48,18 +48,8 @@
     async fn wait_for_news(&self, request: &RenewRequest) {
         let mut applied = self.cluster.control().applied();
         let mut vm_list = self.pools.vm_list.subscribe();
-        let deadline = Instant::now() + self.settings.renewal_interval;
-        while !self.has_news(request) {
-            let changed = async {
-                tokio::select! {
-                    changed = applied.changed() => changed.is_ok(),
-                    changed = vm_list.changed() => changed.is_ok(),
-                }
-            };
-            if !matches!(tokio::time::timeout_at(deadline.into(), changed).await, Ok(true)) {
-                return;
-            }
-        }
+        let limit = self.settings.renewal_interval;
+        wait_for_news(&mut applied, &mut vm_list, limit, || self.has_news(request)).await;
     }
 
     fn has_news(&self, request: &RenewRequest) -> bool {
