Keep the smaller model's answer where another try is not allowed

Cause: a call whose prompt holds a watched part dropped an answer of little confidence and was then not sent to the larger model, so its caller got 502 in place of the answer. Change: no larger model is asked while the part is watched.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -243,7 +243,8 @@
     fn escalation(&self, exchange: &Exchange, history: &AttemptHistory) -> Option<Self> {
         let (model, confidence) = (self.model.as_ref()?, exchange.head.confidence?);
         let largest = self.route.models.last().filter(|largest| *largest != model)?.clone();
-        if !self.may_retry_after_run(history) {
+        // A part that may end servers would meet another one; this answer is better than none.
+        if !self.may_retry_after_run(history) || self.gateway.parts.is_suspect(&self.head) {
             return None;
         }
         let parts = parts_for_model(&self.head, Some(&largest));
