Log the rate that a server names, and count the calls sent to it

Cause: nothing read Server-Limit, so neither log nor metric could tell whether a router had heard of a limit, nor what it sent then. Change: the platform's head is parsed (the least of several numbers, what is no rate is said to be unreadable); a router logs when a server names a limit, changes or drops it, and counts samphireshift_limited_sends_total. Nothing is decided by it yet.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -139,6 +139,7 @@
         let request = self.request(&server.vm.name, last_event);
         let mut run = self.gateway.parts.begin_run(&self.head);
         let sent_at = Instant::now();
+        self.gateway.limits.count_send(&server.vm.name);
         let result = self.wait_for_response(timeout, connection.send_unchanged(request)).await;
         let response = match result {
             Ok(Ok(response)) => response,
@@ -161,6 +162,10 @@
         if head.leaving && self.gateway.servers.mark_leaving(&server.vm) {
             log::info!("call {}: server {} says that it is leaving", self.log_id(), server.vm.name);
         }
+        // Another server may have taken over the address.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            self.gateway.limits.hear(&server.vm.name, head.limit);
+        }
         let declines = response.status() == StatusCode::SERVICE_UNAVAILABLE
             || response.status() == StatusCode::TOO_MANY_REQUESTS;
         if let Some(wait) = head.retry_after.filter(|_| declines) {
--- a/src/gateway/header_format.rs
+++ b/src/gateway/header_format.rs
@@ -99,6 +99,20 @@
     pub leaving: bool,
     /// How long the server, as it declines the request, wants to be sent nothing.
     pub retry_after: Option<Duration>,
+    /// What the server says of the rate of requests that it takes.
+    pub limit: NamedLimit,
+}
+
+/// What a response says of the rate of requests that its server takes from all routers together.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum NamedLimit {
+    /// Nothing: the server takes any rate.
+    #[default]
+    Absent,
+    /// Something that is not a rate; what the server said before holds.
+    Unreadable,
+    /// This many requests a second.
+    PerSecond(f64),
 }
 
 /// A server's load as reported in a response.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod route_index;
 mod route_permit;
 mod run;
+mod server_limits;
 mod server_selection;
 mod server_table;
 mod sessions;
@@ -28,7 +29,7 @@
 pub use event_splitter::{EventSplitter, StreamEnd};
 pub use gateway_error::GatewayError;
 pub use header_format::{
-    ForwardedHead, HeaderFormat, PromptPart, ReportedLoad, RequestHead, RequestedModel,
+    ForwardedHead, HeaderFormat, NamedLimit, PromptPart, ReportedLoad, RequestHead, RequestedModel,
     ResponseHead, TokenCounts,
 };
 pub use route_index::{Access, RouteIndex};
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,6 @@
 use super::part_watch::PartWatch;
 use super::response_timeout::SilenceTracker;
+use super::server_limits::ServerLimits;
 use super::server_table::ServerTable;
 use super::sessions::Sessions;
 use super::tallies::Tallies;
@@ -38,6 +39,8 @@
     pub connections: ConnectionPool,
     /// The backend servers and their state.
     pub servers: ServerTable,
+    /// The limits that servers name.
+    pub limits: Arc<ServerLimits>,
     /// The version that last served each session.
     pub sessions: Sessions,
     /// Call results by version, reported to the voters.
@@ -69,6 +72,7 @@
             lease: Arc::default(),
             connections: ConnectionPool::new(CONNECT_TIMEOUT),
             servers: ServerTable::default(),
+            limits: Arc::default(),
             sessions: Sessions::new(settings.fleet_limits.session_timeout * 2),
             tallies: Arc::default(),
             parts: Arc::default(),
