--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 mod renewals;
 mod rollouts;
 mod router_reports;
+mod server_limits;
 mod start;
 mod stop;
 mod voter;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,6 +1,7 @@
 use super::deadly_parts::LeaderParts;
 use super::leader_leases::LeaderLeases;
 use super::leader_pools::LeaderPools;
+use super::server_limits::LeaderLimits;
 use crate::consensus::{Member, Members};
 use crate::distribution::Publisher;
 use crate::error::Error;
@@ -36,6 +37,8 @@
     pub pools: LeaderPools,
     /// Evidence against parts of prompts, which the leader collects.
     pub parts: LeaderParts,
+    /// The limits that servers name, and the tokens for them, which the leader gives out.
+    pub limits: LeaderLimits,
     /// The configuration and the VM list as distributed to routers.
     pub publisher: Publisher,
     /// Renders the metrics of this process.
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -4,9 +4,9 @@
 use crate::event::{Event, EventQuery};
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
-    EventResponse, LeaseRequest, LeaseResponse, NodeStatus, OperatorRequest, OperatorResponse,
-    PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec, RenewRequest, RenewResponse,
-    SubmitResponse, accept,
+    EventResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
+    OperatorRequest, OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec,
+    RenewRequest, RenewResponse, SubmitResponse, accept,
 };
 use bytes::Bytes;
 use futures::StreamExt;
@@ -68,6 +68,13 @@
         self.0.share_parts(report).await
     }
 
+    async fn share_limits(self, _: Context, report: LimitReport) -> LimitResponse {
+        if !self.0.cluster.control().status().leading {
+            return LimitResponse::NotLeader { address: self.0.leader_address() };
+        }
+        self.0.share_limits(report).await
+    }
+
     async fn operate(self, _: Context, request: OperatorRequest) -> OperatorResponse {
         if !self.0.cluster.control().status().leading {
             return OperatorResponse::NotLeader { leader: self.0.leader() };
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -6,6 +6,7 @@
 use super::orders::issue_orders;
 use super::peer_server::serve_peers;
 use super::rollouts::manage_rollouts;
+use super::server_limits::LeaderLimits;
 use super::{Node, stop};
 use crate::backend::{ByteBudget, ConnectionPool, LoadedVersions};
 use crate::consensus::{MemberId, Timing};
@@ -102,6 +103,7 @@
         aggregator: Mutex::new(None),
         pools: LeaderPools::default(),
         parts: LeaderParts::default(),
+        limits: LeaderLimits::default(),
         publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -8,6 +8,7 @@
 use super::peer_server::serve_peers;
 use super::pool_rollouts::manage_pool_rollouts;
 use super::renewals::publish_changes;
+use super::server_limits::{LeaderLimits, keep_server_limits};
 use super::start::{bind, bind_error, open_groups};
 use crate::consensus::Members;
 use crate::distribution::Publisher;
@@ -65,6 +66,7 @@
     tokio::spawn(manage_pool_rollouts(node.clone()));
     tokio::spawn(publish_changes(node.clone()));
     tokio::spawn(block_deadly_parts(node.clone()));
+    tokio::spawn(keep_server_limits(node.clone()));
     tokio::spawn(run_log_loop(node.journal.clone()));
     tokio::spawn(serve_with_format(node.clone(), format, operators));
     run_until_stopped(&node, signals).await;
@@ -96,6 +98,7 @@
         aggregator: Mutex::new(None),
         pools: LeaderPools::default(),
         parts: LeaderParts::default(),
+        limits: LeaderLimits::default(),
         publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -3,7 +3,7 @@
 use super::call::Call;
 use super::server_selection::{pick_pool, stable_hash};
 use super::{Access, Gateway, GatewayError, RequestHead, RequestedModel, RouteIndex};
-use crate::control::{CallerLimits, ConfiguredRoute, KeyHash};
+use crate::control::{CallerLimits, KeyHash};
 use crate::name::{ModelName, PoolName};
 use bytes::Bytes;
 use http::request::Parts;
@@ -22,6 +22,8 @@
 const MAX_STARTUP_WAIT: Duration = Duration::from_secs(4);
 /// Fraction of a call's timeout that it may spend waiting for a starting router.
 const STARTUP_WAIT_FRACTION: f64 = 0.5;
+/// The least urgent rank of a call.
+const MAX_RANK: u8 = 9;
 
 /// A request's body, before or after it was read.
 enum RequestBody {
@@ -70,12 +72,14 @@
         RequestedModel::Any => route.models.first().cloned(),
         RequestedModel::Named(_) | RequestedModel::Unspecified => None,
     };
+    let rank = key_priority.unwrap_or(route.priority).min(MAX_RANK);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = path.parse().map_err(|_| GatewayError::Malformed("invalid path".to_owned()))?;
     Ok(Call {
         gateway: gateway.clone(),
         parts: parts_for_model(&head, model.as_ref()),
-        priority: priority(&index, &route, &pool, key_priority),
+        priority: has_engine(&index, &pool).then_some(rank),
+        rank,
         index,
         pool,
         key: organisation.as_ref().and(key),
@@ -111,17 +115,10 @@
     }
 }
 
-/// The call's priority at an engine, 0 (first) to 9; `None` for pools without an engine. A priority
-/// of the organisation takes precedence over the route's.
-fn priority(
-    index: &RouteIndex,
-    route: &ConfiguredRoute,
-    pool: &PoolName,
-    key_priority: Option<u8>,
-) -> Option<u8> {
-    let table = index.config.route_table.as_ref()?;
-    let engine = table.pool(pool)?.engine.is_some();
-    engine.then(|| key_priority.unwrap_or(route.priority).min(9))
+/// Whether the servers of a pool are engines, which honour priorities.
+fn has_engine(index: &RouteIndex, pool: &PoolName) -> bool {
+    let table = index.config.route_table.as_ref();
+    table.and_then(|table| table.pool(pool)).is_some_and(|pool| pool.engine.is_some())
 }
 
 /// The prompt parts with their ids combined with the model's name: each model has a cache of its
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,12 +3,12 @@
 use super::accept::{accept, parts_for_model};
 use super::exchange::{Exchange, SendOutcome};
 use super::response::{ResponseBody, full_body, may_carry_events, strip_hop_headers};
-use super::server_selection::{SelectedServer, SelectionCriteria, stable_hash};
+use super::server_selection::{SelectedServer, Selection, SelectionCriteria, stable_hash};
 use super::stream_relay::{StreamRelay, relay_stream};
 use super::{Access, Gateway, GatewayError, RequestHead, RouteIndex};
 use crate::backend::BodyError;
 use crate::control::{ConfiguredRoute, KeyHash};
-use crate::name::{ModelName, OrganisationName, PoolName, VmName};
+use crate::name::{ModelName, OrganisationName, PoolName, VersionName, VmName};
 use crate::policy::accepts_answer;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
@@ -22,6 +22,10 @@
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// How much longer the largest model takes to start its response than the smallest, as a factor.
 const LARGEST_MODEL_SLOWDOWN: f64 = 2.2;
+/// The part of its remaining time that a call may wait for a limited server; the rest is for the
+/// answer.
+const LIMIT_WAIT_FRACTION: f64 = 0.5;
+
 /// An accepted call, with everything that its attempts need.
 #[derive(Clone)]
 pub struct Call {
@@ -41,6 +45,9 @@
     pub organisation: Option<OrganisationName>,
     /// The priority at engines, 0 (first) to 9; `None` for pools without an engine.
     pub priority: Option<u8>,
+    /// How urgent the call is, 0 (first) to 9. That of the organisation takes precedence over the
+    /// route's.
+    pub rank: u8,
     /// The model that the router chose; `None` where the caller names one or the route has none.
     pub model: Option<ModelName>,
     /// Prompt parts as (id, tokens); ids are specific to the model, see [`parts_for_model`].
@@ -177,6 +184,7 @@
             if history.sends > 0 && !self.may_retry(history) {
                 return Err(self.final_error(history));
             }
+            let selected = self.next_server(history).await?;
             // The part may have been found while the call was under way.
             if let Some(part) = self.gateway.parts.blocked_part(&self.head) {
                 return Err(match &history.last_failure {
@@ -184,11 +192,6 @@
                     None => GatewayError::PartBlocked(part),
                 });
             }
-            let selected = self.select_server(&history.servers);
-            let Some(selected) = selected.filter(|_| history.servers.len() < MAX_SERVERS_TRIED)
-            else {
-                return Err(self.final_error(history));
-            };
             let budget_taken = std::mem::take(&mut history.budget_taken);
             if history.sends > 0 && !budget_taken && !self.gateway.take_retry(&self.pool) {
                 return Err(self.final_error(history));
@@ -238,6 +241,31 @@
         }
     }
 
+    /// Selects the server for the next attempt. If servers would take the call but for their limits,
+    /// waits until one may be sent the call; returns at once if that would be too late.
+    async fn next_server(&self, history: &AttemptHistory) -> Result<SelectedServer, GatewayError> {
+        loop {
+            if history.servers.len() >= MAX_SERVERS_TRIED {
+                return Err(self.final_error(history));
+            }
+            let servers = match self.select_server(&history.servers) {
+                Selection::Server(selected) => return Ok(selected),
+                Selection::Limited(servers) => servers,
+                Selection::Nothing => return Err(self.final_error(history)),
+            };
+            let left = self.deadline.saturating_duration_since(Instant::now());
+            let until = Instant::now() + left.mul_f64(LIMIT_WAIT_FRACTION);
+            let Some(token) = self.gateway.limits.wait(&servers, self.rank, until).await else {
+                return Err(self.limited_error(history, &servers));
+            };
+            let session_version = self.session_version();
+            let criteria = self.criteria(session_version.as_ref(), &[]);
+            if let Some(selected) = self.gateway.select_with_token(&criteria, token) {
+                return Ok(selected);
+            }
+        }
+    }
+
     /// The call for the largest model, if the confidence of the response is too low to keep it and
     /// the retry budget allows another attempt.
     fn escalation(&self, exchange: &Exchange, history: &AttemptHistory) -> Option<Self> {
@@ -249,7 +277,8 @@
         }
         let parts = parts_for_model(&self.head, Some(&largest));
         let larger = Self { parts, model: Some(largest), ..self.clone() };
-        let estimate_ms = larger.select_server(&[])?.estimate_ms * LARGEST_MODEL_SLOWDOWN;
+        let Selection::Server(server) = larger.select_server(&[]) else { return None };
+        let estimate_ms = server.estimate_ms * LARGEST_MODEL_SLOWDOWN;
         let target = self.started + self.route.latency_target;
         let left_ms = target.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         let keep = accepts_answer(confidence, estimate_ms, left_ms);
@@ -261,22 +290,34 @@
     }
 
     /// Selects the best server for the call now, leaving out the `excluded` ones.
-    fn select_server(&self, excluded: &[VmName]) -> Option<SelectedServer> {
-        let session = self.head.session.as_deref();
-        let hash = match session {
-            Some(session) => stable_hash(session),
+    fn select_server(&self, excluded: &[VmName]) -> Selection {
+        let session_version = self.session_version();
+        let criteria = self.criteria(session_version.as_ref(), excluded);
+        self.gateway.select_server(&self.index, &criteria)
+    }
+
+    /// The version that last served the call's session, if known.
+    fn session_version(&self) -> Option<Option<VersionName>> {
+        self.gateway.sessions.version(self.head.session.as_deref()?)
+    }
+
+    fn criteria<'a>(
+        &'a self,
+        session_version: Option<&'a Option<VersionName>>,
+        excluded: &'a [VmName],
+    ) -> SelectionCriteria<'a> {
+        let hash = match &self.head.session {
+            Some(session) => stable_hash(session.as_str()),
             None => stable_hash(self.head.id.as_ref().map_or(&[][..], |id| id.as_bytes())),
         };
-        let session_version = session.and_then(|session| self.gateway.sessions.version(session));
-        let criteria = SelectionCriteria {
+        SelectionCriteria {
             pool: &self.pool,
             hash,
-            in_session: session.is_some(),
-            session_version: session_version.as_ref(),
+            in_session: self.head.session.is_some(),
+            session_version,
             parts: &self.parts,
             excluded,
-        };
-        self.gateway.select_server(&self.index, &criteria)
+        }
     }
 
     /// The caller's id of the call, for logs; `-` if it has none.
@@ -333,4 +374,20 @@
             None => GatewayError::NoServer(self.pool.to_string()),
         }
     }
+
+    /// The error for a call that these servers would take but for their limits.
+    fn limited_error(&self, history: &AttemptHistory, servers: &[VmName]) -> GatewayError {
+        match self.final_error(history) {
+            GatewayError::NoServer(pool) => {
+                let wait = self.gateway.limits.return_wait(
+                    &self.pool,
+                    servers,
+                    self.rank,
+                    self.deadline.saturating_duration_since(Instant::now()),
+                );
+                GatewayError::ServersLimited { pool, wait }
+            }
+            error => error,
+        }
+    }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -109,7 +109,7 @@
         last_event: Option<u64>,
         timeout: ResponseTimeout,
     ) -> SendOutcome {
-        let SelectedServer { server, uncached_tokens, baseline_ms, .. } = selected;
+        let SelectedServer { server, uncached_tokens, baseline_ms, permit, .. } = selected;
         let in_flight = server.begin_call(&self.parts, uncached_tokens);
         let version = server.vm.version.as_ref();
         let mut recorder = self.gateway.tallies.begin_call(
@@ -133,17 +133,24 @@
             connection.return_to_pool();
             return SendOutcome::NotSent("the server wants no calls any more".to_owned());
         }
+        let Some(mut permit) = self.gateway.limits.renew(&server.vm.name, permit) else {
+            connection.return_to_pool();
+            return SendOutcome::NotSent("the server's limit allows no call now".to_owned());
+        };
         let (lease, revision) = (self.gateway.lease.clone(), self.index.config.revision);
         let (route, pool) = (self.route.clone(), self.pool.clone());
         connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
         let request = self.request(&server.vm.name, last_event);
         let mut run = self.gateway.parts.begin_run(&self.head);
         let sent_at = Instant::now();
-        self.gateway.limits.count_send(&server.vm.name);
+        permit.spend();
         let result = self.wait_for_response(timeout, connection.send_unchanged(request)).await;
         let response = match result {
             Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent(cause))) => return SendOutcome::NotSent(cause),
+            Ok(Err(SendError::NotSent(cause))) => {
+                permit.unspend();
+                return SendOutcome::NotSent(cause);
+            }
             Ok(Err(SendError::MaybeSent(cause))) => {
                 server.record_failure();
                 run.server_ended(&server.vm.name, sent_at.elapsed());
@@ -164,7 +171,7 @@
         }
         // Another server may have taken over the address.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            self.gateway.limits.hear(&server.vm.name, head.limit);
+            self.gateway.limits.hear(&server.vm.name, head.limit, sent_at);
         }
         let declines = response.status() == StatusCode::SERVICE_UNAVAILABLE
             || response.status() == StatusCode::TOO_MANY_REQUESTS;
--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -28,6 +28,17 @@
         /// The time until the first of them takes calls again.
         wait: Duration,
     },
+    /// The limits that the servers of the pool name allow no call in time.
+    #[error(
+        "the servers of pool {pool} take no more calls in time, by the limits that they name; \
+         retry in {} ms", wait.as_millis()
+    )]
+    ServersLimited {
+        /// The pool.
+        pool: String,
+        /// The time until it is this caller's turn.
+        wait: Duration,
+    },
     /// Every server that was tried stated that it did not run the call.
     #[error("every server that was tried is full; retry later")]
     ServersFull,
@@ -72,6 +83,7 @@
             }
             GatewayError::NoServer(_)
             | GatewayError::ServersBackingOff { .. }
+            | GatewayError::ServersLimited { .. }
             | GatewayError::ServersFull
             | GatewayError::PartBlocked(_)
             | GatewayError::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
@@ -92,7 +104,8 @@
             GatewayError::NoServer(_) | GatewayError::ServersFull => {
                 Some(Duration::from_millis(400))
             }
-            GatewayError::ServersBackingOff { wait, .. } => Some(*wait),
+            GatewayError::ServersBackingOff { wait, .. }
+            | GatewayError::ServersLimited { wait, .. } => Some(*wait),
             GatewayError::Starting => Some(Duration::from_secs(1)),
             GatewayError::PartBlocked(_) => Some(BLOCKED_RETRY_DELAY),
             _ => None,
@@ -107,6 +120,7 @@
             GatewayError::Stopping => "stopping",
             GatewayError::NoServer(_) => "no_server",
             GatewayError::ServersBackingOff { .. } => "backoff",
+            GatewayError::ServersLimited { .. } => "limited",
             GatewayError::ServersFull => "full",
             GatewayError::NotSentInTime => "late",
             GatewayError::PartBlocked(_) => "part_blocked",
--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -1,15 +1,17 @@
 //! Keeps this router's lease alive; its configuration and VM list arrive with the renewals.
 
 use super::Gateway;
-use super::part_loop::{LeaderConnection, knows_parts, share_once, share_parts};
+use super::leader_loop::LeaderConnection;
+use super::limit_loop::{self, serve_waiting_calls, share_limits};
+use super::part_loop::{self, share_parts};
 use super::voters::Voters;
 use crate::control::{Config, PoolRolloutStatus, RouterId};
 use crate::distribution::{Chunk, ReceiveError, RouterState};
 use crate::event::Event;
 use crate::group::since_start;
 use crate::peer::{
-    LeaseRequest, LeaseResponse, PeerClient, PeerIdentity, PoolReport, PoolUpdate, ProtocolVersion,
-    RenewRequest, RenewResponse, dial,
+    Dialed, LeaseRequest, LeaseResponse, PeerClient, PeerIdentity, PoolReport, PoolUpdate,
+    ProtocolVersion, RenewRequest, RenewResponse, dial,
 };
 use crate::policy::{Epoch, Tally};
 use std::net::SocketAddr;
@@ -59,7 +61,9 @@
         leader: watch::Sender::new(None),
     };
     let (gateway, leader) = (lease_loop.gateway.clone(), lease_loop.leader.subscribe());
-    tokio::spawn(share_parts(gateway, lease_loop.router_id(), leader));
+    tokio::spawn(share_parts(gateway.clone(), lease_loop.router_id(), leader.clone()));
+    tokio::spawn(share_limits(gateway.clone(), lease_loop.router_id(), leader));
+    tokio::spawn(serve_waiting_calls(gateway));
     loop {
         let renewed = lease_loop.renew().await;
         lease_loop.record_lease_change();
@@ -79,10 +83,9 @@
             return false;
         }
         let Some((address, peer)) = self.voters.connection.clone() else { return false };
-        // What ends servers is learned before the first calls are accepted.
         let is_new = self.leader.borrow().is_none();
-        if is_new && knows_parts(&peer) {
-            share_once(&self.gateway, &self.router_id(), &peer, false).await;
+        if is_new {
+            self.learn_first(&peer).await;
         }
         let renewed = match peer.version >= ProtocolVersion::STATE_CHANGES {
             true => self.renew_with_changes(address, &peer.client).await,
@@ -114,6 +117,17 @@
         }
     }
 
+    /// Learns what ends servers and what their limits are, before the first calls are accepted.
+    async fn learn_first(&self, peer: &Dialed) {
+        let (gateway, router) = (&self.gateway, &self.router_id());
+        if peer.version >= ProtocolVersion::DEADLY_PARTS {
+            part_loop::share_once(gateway, router, peer, false).await;
+        }
+        if peer.version >= ProtocolVersion::SERVER_LIMITS {
+            limit_loop::share_once(gateway, router, peer, false).await;
+        }
+    }
+
     /// Renews the lease and reads on in the leader's log of changes.
     async fn renew_with_changes(
         &mut self,
@@ -165,7 +179,7 @@
         }
         if let Some(vms) = self.state.receive_vms(vms.as_ref())? {
             self.list_digest = 0;
-            self.gateway.servers.replace_list(&vms);
+            self.gateway.replace_vms(&vms);
             log::info!("the VM list has changed: {} live VMs", vms.len());
         }
         Ok(())
@@ -247,7 +261,7 @@
         if let Some(vm_list) = &update.vm_list {
             self.list_digest = vm_list.digest;
             self.state.replace_vms(&vm_list.vms);
-            self.gateway.servers.replace_list(&vm_list.vms);
+            self.gateway.replace_vms(&vm_list.vms);
             log::info!("the VM list has changed: {} VMs", vm_list.vms.len());
         }
         self.update_fleet(update.voters, update.router_count);
@@ -258,6 +272,7 @@
             self.voters.known = voters;
         }
         self.gateway.router_count.store(router_count, Ordering::Relaxed);
+        self.gateway.limits.set_fleet(router_count);
     }
 
     fn context(&self) -> context::Context {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,8 +8,10 @@
 mod gateway_error;
 mod header_format;
 mod http_server;
+mod leader_loop;
 mod lease_loop;
 mod leaving_servers;
+mod limit_loop;
 mod part_loop;
 mod part_watch;
 mod response;
@@ -24,6 +26,7 @@
 mod state;
 mod stream_relay;
 mod tallies;
+mod token_queue;
 mod voters;
 
 pub use event_splitter::{EventSplitter, StreamEnd};
--- a/src/gateway/part_loop.rs
+++ b/src/gateway/part_loop.rs
@@ -1,6 +1,7 @@
 //! Exchanges with the leader what is known of parts of prompts that end servers.
 
 use super::Gateway;
+use super::leader_loop::{LeaderConnection, await_leader, pause};
 use super::part_watch::PartNews;
 use crate::control::RouterId;
 use crate::peer::{Dialed, PartReport, PartResponse, ProtocolVersion};
@@ -11,38 +12,17 @@
 
 /// Time limit for a response, which the leader may delay for a second.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Delay after a report that was not counted.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// The shortest interval between two reports.
-const MIN_INTERVAL: Duration = Duration::from_millis(20);
-
-/// The connection to the leader; `None` without one.
-pub type LeaderConnection = Option<Dialed>;
-
-/// Reports and asks in an endless loop, on the connection that the lease is renewed on.
+/// Reports and asks in an endless loop.
 pub async fn share_parts(
     gateway: Arc<Gateway>,
     router: RouterId,
     mut connection: watch::Receiver<LeaderConnection>,
 ) {
-    loop {
-        let usable = |dialed: &LeaderConnection| dialed.as_ref().is_some_and(knows_parts);
-        let Ok(dialed) = connection.wait_for(usable).await.map(|dialed| dialed.clone()) else {
-            return;
-        };
-        let Some(dialed) = dialed else { continue };
-        if !share_once(&gateway, &router, &dialed, true).await {
-            tokio::time::sleep(RETRY_DELAY).await;
-        }
-        tokio::time::sleep(MIN_INTERVAL).await;
+    while let Some(dialed) = await_leader(&mut connection, ProtocolVersion::DEADLY_PARTS).await {
+        pause(share_once(&gateway, &router, &dialed, true).await).await;
     }
 }
 
-/// Whether a voter answers reports on parts.
-pub fn knows_parts(dialed: &Dialed) -> bool {
-    dialed.version >= ProtocolVersion::DEADLY_PARTS
-}
-
 /// Sends one report. Returns whether the leader has counted it. With `wait`, and nothing to report,
 /// the leader answers when it has news.
 pub async fn share_once(gateway: &Gateway, router: &RouterId, dialed: &Dialed, wait: bool) -> bool {
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -1,43 +1,318 @@
-//! The rates of requests that servers have named to this router.
+//! The limits that servers name: what this router has heard, its tokens, and the calls that wait for
+//! one.
 
 use super::NamedLimit;
-use crate::name::VmName;
-use std::collections::BTreeMap;
-use std::sync::Mutex;
+use super::token_queue::{Grant, Place, TokenQueue, expected_wait};
+use crate::group::since_start;
+use crate::name::{PoolName, VmName};
+use crate::policy::{
+    Admission, LimitDemand, LimitNews, LimitPosition, LocalLimits, ReturnSchedule, SendToken,
+};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, oneshot};
 
 /// A limit is logged again only if it has changed by more than this fraction.
-const LOGGED_CHANGE: f64 = 0.1;
+const LOGGED_CHANGE: f64 = 0.25;
 
-/// The limits that servers name, in requests a second.
-#[derive(Debug, Default)]
+/// The limits of servers, and the tokens that permit requests to them.
+#[derive(Debug)]
 pub struct ServerLimits {
-    limits: Mutex<BTreeMap<VmName, f64>>,
+    inner: Mutex<Inner>,
+    /// Servers with a limit; without any, nothing has to be looked up.
+    count: AtomicUsize,
+    /// Notified when there is something to report to the leader.
+    pub news: Notify,
+}
+
+#[derive(Debug)]
+struct Inner {
+    local: LocalLimits,
+    queue: TokenQueue,
+    returns: HashMap<PoolName, ReturnSchedule>,
+    /// The limits as they were logged last.
+    logged: HashMap<VmName, f64>,
+}
+
+/// Whether a call may be sent to a server.
+#[derive(Debug)]
+pub enum SendPermit {
+    /// The server has no limit.
+    Free,
+    /// One request may be sent.
+    Token(LimitToken),
+}
+
+/// A token for one request. If it is dropped unspent, another call may use it.
+#[derive(Debug)]
+pub struct LimitToken {
+    limits: Arc<ServerLimits>,
+    server: VmName,
+    token: SendToken,
+    is_spent: bool,
+}
+
+/// A call's place in the queue; it leaves the queue when this is dropped.
+struct QueuePlace<'a> {
+    limits: &'a ServerLimits,
+    place: Place,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.limits.lock().queue.remove(self.place);
+    }
+}
+
+impl Drop for LimitToken {
+    fn drop(&mut self) {
+        if !self.is_spent {
+            let now = since_start();
+            let mut inner = self.limits.lock();
+            let inner = &mut *inner;
+            inner.local.give_back(now, &self.server, self.token);
+            inner.queue.hand_out(now, &mut inner.local);
+        }
+    }
+}
+
+impl SendPermit {
+    /// Marks the permission as used.
+    pub fn spend(&mut self) {
+        if let Self::Token(token) = self {
+            metrics::counter!("samphireshift_limited_sends_total").increment(1);
+            token.is_spent = true;
+        }
+    }
+
+    /// Takes it back that the permission was used, as nothing was sent.
+    pub fn unspend(&mut self) {
+        if let Self::Token(token) = self {
+            token.is_spent = false;
+        }
+    }
+}
+
+impl LimitToken {
+    /// The server that the token is for.
+    pub fn server(&self) -> &VmName {
+        &self.server
+    }
+
+    fn is_valid(&self) -> bool {
+        self.limits.lock().local.is_valid(since_start(), self.token)
+    }
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        let inner = Inner {
+            local: LocalLimits::new(rand::random()),
+            queue: TokenQueue::default(),
+            returns: HashMap::new(),
+            logged: HashMap::new(),
+        };
+        Self { inner: Mutex::new(inner), count: AtomicUsize::new(0), news: Notify::new() }
+    }
 }
 
 impl ServerLimits {
-    /// Records what a response says of its server's limit.
-    pub fn hear(&self, server: &VmName, named: NamedLimit) {
-        let mut limits = self.limits.lock().expect("limit lock");
-        match named {
-            NamedLimit::Unreadable => log::warn!("server {server} names a limit that is no rate"),
-            NamedLimit::Absent => {
-                if limits.remove(server).is_some() {
-                    log::info!("server {server} names no limit any more");
-                }
-            }
-            NamedLimit::PerSecond(limit) => {
-                let before = limits.insert(server.clone(), limit);
-                if before.is_none_or(|before| (limit - before).abs() > LOGGED_CHANGE * before) {
-                    log::info!("server {server} names a limit of {limit} requests a second");
-                }
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().expect("limit lock")
+    }
+
+    fn update_count(&self, inner: &Inner) {
+        let count = inner.local.count();
+        if self.count.swap(count, Ordering::Relaxed) != count {
+            metrics::gauge!("samphireshift_limited_servers").set(count as f64);
+        }
+    }
+
+    /// Whether any server has a limit.
+    pub fn is_any(&self) -> bool {
+        self.count.load(Ordering::Relaxed) > 0
+    }
+
+    /// Records what a response to a call sent at `sent_at` says of its server's limit.
+    pub fn hear(&self, server: &VmName, named: NamedLimit, sent_at: Instant) {
+        let limit = match named {
+            NamedLimit::Unreadable => {
+                log::warn!(
+                    "server {server} names a limit that is no rate; what it said before holds"
+                );
+                return;
             }
+            NamedLimit::Absent if !self.is_any() => return,
+            NamedLimit::Absent => None,
+            NamedLimit::PerSecond(limit) => Some(limit),
+        };
+        let now = since_start();
+        let sent_at = now.saturating_sub(sent_at.elapsed());
+        let mut inner = self.lock();
+        let is_news = inner.local.hear(now, sent_at, server, limit);
+        self.update_count(&inner);
+        match limit {
+            Some(limit) => inner.log_limit(server, limit),
+            None if is_news => log::info!("server {server} names no limit any more"),
+            None => {}
+        }
+        if is_news {
+            self.news.notify_one();
         }
     }
 
-    /// Counts a request that is sent to a server with a limit.
-    pub fn count_send(&self, server: &VmName) {
-        if self.limits.lock().expect("limit lock").contains_key(server) {
-            metrics::counter!("samphireshift_limited_sends_total").increment(1);
+    /// Whether a call may be sent to a server now.
+    pub fn admission(&self, server: &VmName) -> Admission {
+        match self.is_any() {
+            true => self.lock().local.admission(since_start(), server),
+            false => Admission::Free,
+        }
+    }
+
+    /// Permission to send a call to a server; `None` if there is no token for it now.
+    pub fn reserve(self: &Arc<Self>, server: &VmName) -> Option<SendPermit> {
+        if !self.is_any() {
+            return Some(SendPermit::Free);
+        }
+        let now = since_start();
+        let mut inner = self.lock();
+        if inner.local.admission(now, server) == Admission::Free {
+            return Some(SendPermit::Free);
+        }
+        let token = inner.local.take(now, server)?;
+        Some(SendPermit::Token(self.token(server.clone(), token)))
+    }
+
+    /// Checks a permission just before the call is sent: since it was reserved, the server may have
+    /// named a limit, or the token may have expired.
+    pub fn renew(self: &Arc<Self>, server: &VmName, permit: SendPermit) -> Option<SendPermit> {
+        match permit {
+            SendPermit::Token(token) if token.is_valid() => Some(SendPermit::Token(token)),
+            SendPermit::Token(_) | SendPermit::Free => self.reserve(server),
+        }
+    }
+
+    /// Records that a call would have gone to a server, had there been a token.
+    pub fn want(&self, server: &VmName) {
+        if self.lock().local.want(since_start(), server) {
+            self.news.notify_one();
+        }
+    }
+
+    /// Waits for a token of any of these servers until `until`; returns at once if it is not expected
+    /// to come in time.
+    pub async fn wait(
+        self: &Arc<Self>,
+        servers: &[VmName],
+        rank: u8,
+        until: Instant,
+    ) -> Option<LimitToken> {
+        let (place, receiver) = self.enqueue(servers, rank, until)?;
+        let _place = QueuePlace { limits: self, place };
+        let (server, token) = tokio::time::timeout_at(until.into(), receiver).await.ok()?.ok()?;
+        Some(self.token(server, token))
+    }
+
+    fn enqueue(
+        &self,
+        servers: &[VmName],
+        rank: u8,
+        until: Instant,
+    ) -> Option<(Place, oneshot::Receiver<Grant>)> {
+        let now = since_start();
+        let until = now + until.saturating_duration_since(Instant::now());
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        let ahead = inner.queue.count_ahead(rank, servers);
+        if now.saturating_add(expected_wait(now, &inner.local, servers, ahead)) > until {
+            return None;
+        }
+        let queued = inner.queue.push(rank, servers, until);
+        inner.queue.hand_out(now, &mut inner.local);
+        inner.queue.give_up_late(now, &inner.local);
+        self.news.notify_one();
+        Some(queued)
+    }
+
+    /// How long a caller that cannot be served in time, and has `left` of it, should stay away.
+    pub fn return_wait(
+        &self,
+        pool: &PoolName,
+        servers: &[VmName],
+        rank: u8,
+        left: Duration,
+    ) -> Duration {
+        let now = since_start();
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        let ahead = inner.queue.count_ahead(rank, servers);
+        let least = expected_wait(now, &inner.local, servers, ahead + 1);
+        let rate = servers.iter().map(|server| inner.local.expected_rate(now, server)).sum();
+        inner.returns.entry(pool.clone()).or_default().promise(now, rank, least, rate, left)
+    }
+
+    /// Hands tokens of this router's own to waiting calls, while there is no leader.
+    pub fn hand_out(&self) {
+        let now = since_start();
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        inner.queue.hand_out(now, &mut inner.local);
+        inner.queue.give_up_late(now, &inner.local);
+    }
+
+    /// The state of the limits that the leader told last.
+    pub fn position(&self) -> LimitPosition {
+        self.lock().local.position()
+    }
+
+    /// What is to be reported to the leader now.
+    pub fn report(&self) -> LimitDemand {
+        let inner = self.lock();
+        inner.local.report(since_start(), inner.queue.asks())
+    }
+
+    /// Takes in the leader's answer to the report that was sent at `asked_at`.
+    pub fn apply(&self, asked_at: Duration, news: &LimitNews) {
+        let now = since_start();
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        if inner.local.apply(now, asked_at, news) {
+            self.news.notify_one();
+        }
+        inner.queue.hand_out(now, &mut inner.local);
+        inner.queue.give_up_late(now, &inner.local);
+        self.update_count(inner);
+    }
+
+    /// Sets the number of routers that share the limits.
+    pub fn set_fleet(&self, routers: u32) {
+        self.lock().local.set_fleet(since_start(), routers);
+    }
+
+    /// Forgets servers that are no longer in the VM list.
+    pub fn retain<F>(&self, is_listed: F)
+    where
+        F: Fn(&VmName) -> bool,
+    {
+        let mut inner = self.lock();
+        inner.local.retain(&is_listed);
+        inner.logged.retain(|server, _| is_listed(server));
+        self.update_count(&inner);
+    }
+
+    fn token(self: &Arc<Self>, server: VmName, token: SendToken) -> LimitToken {
+        LimitToken { limits: self.clone(), server, token, is_spent: false }
+    }
+}
+
+impl Inner {
+    fn log_limit(&mut self, server: &VmName, limit: f64) {
+        let before = self.logged.get(server);
+        if before.is_none_or(|before| (limit - before).abs() > LOGGED_CHANGE * before) {
+            log::info!("server {server} names a limit of {limit} requests a second");
+            self.logged.insert(server.clone(), limit);
         }
     }
 }
--- a/src/gateway/server_selection.rs
+++ b/src/gateway/server_selection.rs
@@ -1,10 +1,11 @@
 //! Selection of the pool, version and server for a call.
 
+use super::server_limits::{LimitToken, SendPermit};
 use super::server_table::ServerState;
 use super::{Gateway, RouteIndex};
 use crate::control::{ConfiguredRoute, PoolRollout, PoolRolloutStatus};
 use crate::name::{PoolName, VersionName, VmName};
-use crate::policy::{ServerView, is_canary};
+use crate::policy::{Admission, ServerView, is_canary};
 use rand::Rng;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -15,6 +16,9 @@
 /// Random increase of a server's cost, as a fraction, so that routers with the same information do
 /// not all select the same server.
 const COST_JITTER: f64 = 0.15;
+/// A server for which this router holds a token costs this fraction: the token is lost if it is not
+/// used soon.
+const TOKEN_COST_FRACTION: f64 = 0.7;
 
 /// What the selection of a server depends on.
 #[derive(Debug)]
@@ -44,6 +48,30 @@
     pub baseline_ms: f64,
     /// The expected time to the response, in ms, with the server's recent slowness.
     pub estimate_ms: f64,
+    /// Permission to send the call.
+    pub permit: SendPermit,
+}
+
+/// The outcome of a selection.
+#[derive(Debug)]
+pub enum Selection {
+    /// This server is the best one.
+    Server(SelectedServer),
+    /// There is no token for any of these servers, which would take the call otherwise.
+    Limited(Vec<VmName>),
+    /// No server may take the call.
+    Nothing,
+}
+
+/// A server that may take a call, with its cost and time estimates.
+#[derive(Debug)]
+struct Candidate<'a> {
+    server: &'a Arc<ServerState>,
+    is_paused: bool,
+    cost: f64,
+    uncached_tokens: u64,
+    baseline_ms: f64,
+    estimate_ms: f64,
 }
 
 /// Restricts which versions may take a call.
@@ -62,6 +90,11 @@
             VersionFilter::Except(target) => version != Some(target),
         }
     }
+
+    /// Whether the call belongs to a session that was last served by one of these versions.
+    fn is_of_session(&self, criteria: &SelectionCriteria<'_>) -> bool {
+        criteria.session_version.is_some_and(|version| self.matches(version.as_ref()))
+    }
 }
 
 /// Picks one of a route's pools by weight.
@@ -88,72 +121,139 @@
 }
 
 impl Gateway {
-    /// Selects the server for a call; `None` if no server of the pool may take it.
+    /// Selects the server for a call.
     pub(super) fn select_server(
         &self,
         index: &RouteIndex,
         criteria: &SelectionCriteria<'_>,
-    ) -> Option<SelectedServer> {
+    ) -> Selection {
         let servers = self.servers.pool(criteria.pool);
         let rollout = index.config.pool_rollouts.get(criteria.pool);
         let version_filters =
             rollout.map_or([VersionFilter::Any; 2], |rollout| version_filters(rollout, criteria));
-        version_filters.iter().find_map(|filter| self.pick_server(&servers, *filter, criteria))
+        let mut limited = Vec::new();
+        for filter in version_filters {
+            match self.pick_server(&servers, filter, criteria) {
+                Selection::Server(selected) => return Selection::Server(selected),
+                // A session keeps its version, so it waits for a token of that.
+                Selection::Limited(names) if filter.is_of_session(criteria) => {
+                    return Selection::Limited(names);
+                }
+                Selection::Limited(names) => limited.extend(names),
+                Selection::Nothing => {}
+            }
+        }
+        limited.sort_unstable();
+        limited.dedup();
+        if limited.is_empty() { Selection::Nothing } else { Selection::Limited(limited) }
     }
 
+    /// Picks the best server for which there is permission to send. That the better ones had none is
+    /// recorded as demand for them.
     fn pick_server(
         &self,
         servers: &[Arc<ServerState>],
         filter: VersionFilter<'_>,
         criteria: &SelectionCriteria<'_>,
-    ) -> Option<SelectedServer> {
+    ) -> Selection {
         let is_candidate = |server: &&Arc<ServerState>| {
             filter.matches(server.vm.version.as_ref())
                 && server.backoff_left().is_zero()
                 && !criteria.excluded.contains(&server.vm.name)
         };
-        let candidates: Vec<&Arc<ServerState>> = servers.iter().filter(is_candidate).collect();
-        let usable_count = candidates.iter().filter(|server| server.snapshot().usable).count();
-        let affinity_server = affinity_server(&candidates, criteria.parts);
-        let mut best: Option<(f64, SelectedServer)> = None;
-        for server in candidates {
-            let snapshot = server.snapshot();
-            // If all servers are paused, the best of them is still used.
-            if !snapshot.usable && usable_count > 0 {
-                continue;
-            }
-            let uncached_tokens = server.uncached_tokens(criteria.parts);
-            let fraction = if affinity_server == Some(&server.vm.name) {
-                AFFINITY_UNCACHED_FRACTION
-            } else {
-                1.0
-            };
-            let view = ServerView {
-                busy: snapshot.busy,
-                slots: snapshot.slots,
-                pending_tokens: snapshot.pending_tokens,
-                uncached_tokens: uncached_tokens as f64 * fraction,
-                slowness: snapshot.slowness,
-                failure_rate: snapshot.failure_rate,
-                local: server.vm.data_centre == *self.data_centre(),
-            };
-            let cost = view.expected_wait() * rand::rng().random_range(1.0..1.0 + COST_JITTER);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let baseline_ms =
-                    ServerView { uncached_tokens: uncached_tokens as f64, ..view }.baseline_wait();
-                let estimate_ms = baseline_ms * snapshot.slowness;
-                best = Some((
-                    cost,
-                    SelectedServer {
-                        server: server.clone(),
-                        uncached_tokens,
-                        baseline_ms,
-                        estimate_ms,
-                    },
-                ));
+        let fitting: Vec<&Arc<ServerState>> = servers.iter().filter(is_candidate).collect();
+        let affinity_server = affinity_server(&fitting, criteria.parts);
+        let usual_slowness = self.usual_slowness(&fitting);
+        let rate = |server| self.rate_candidate(server, affinity_server, usual_slowness, criteria);
+        let mut candidates: Vec<Candidate<'_>> = fitting.into_iter().map(rate).collect();
+        // If all servers are paused, the best of them is still used.
+        candidates
+            .sort_unstable_by(|a, b| a.is_paused.cmp(&b.is_paused).then(a.cost.total_cmp(&b.cost)));
+        let mut dry = Vec::new();
+        for candidate in candidates {
+            let name = &candidate.server.vm.name;
+            match self.limits.reserve(name) {
+                Some(permit) => {
+                    dry.iter().for_each(|server| self.limits.want(server));
+                    return Selection::Server(candidate.select(permit));
+                }
+                None => dry.push(name.clone()),
             }
         }
-        best.map(|(_, selected)| selected)
+        if dry.is_empty() { Selection::Nothing } else { Selection::Limited(dry) }
+    }
+
+    /// The server that a token is for; `None` if it takes no calls any more.
+    pub(super) fn select_with_token(
+        &self,
+        criteria: &SelectionCriteria<'_>,
+        token: LimitToken,
+    ) -> Option<SelectedServer> {
+        let servers = self.servers.pool(criteria.pool);
+        let server = servers.iter().find(|server| server.vm.name == *token.server())?;
+        let candidate = self.rate_candidate(server, None, f64::MAX, criteria);
+        let takes_calls = server.backoff_left().is_zero();
+        takes_calls.then(|| candidate.select(SendPermit::Token(token)))
+    }
+
+    /// The median slowness of servers, which limited ones are held to have at most.
+    fn usual_slowness(&self, servers: &[&Arc<ServerState>]) -> f64 {
+        if !self.limits.is_any() || servers.is_empty() {
+            return f64::MAX;
+        }
+        let mut all: Vec<f64> = servers.iter().map(|server| server.snapshot().slowness).collect();
+        all.sort_unstable_by(f64::total_cmp);
+        all[all.len() / 2]
+    }
+
+    fn rate_candidate<'a>(
+        &self,
+        server: &'a Arc<ServerState>,
+        affinity_server: Option<&VmName>,
+        usual_slowness: f64,
+        criteria: &SelectionCriteria<'_>,
+    ) -> Candidate<'a> {
+        let snapshot = server.snapshot();
+        let uncached_tokens = server.uncached_tokens(criteria.parts);
+        let has_affinity = affinity_server == Some(&server.vm.name);
+        let fraction = if has_affinity { AFFINITY_UNCACHED_FRACTION } else { 1.0 };
+        let admission = self.limits.admission(&server.vm.name);
+        // What few calls showed long ago must not keep a limited server from its rate.
+        let most_slowness = match admission {
+            Admission::Free => f64::MAX,
+            Admission::Ready | Admission::Dry => usual_slowness,
+        };
+        let slowness = snapshot.slowness.min(most_slowness);
+        let view = ServerView {
+            busy: snapshot.busy,
+            slots: snapshot.slots,
+            pending_tokens: snapshot.pending_tokens,
+            uncached_tokens: uncached_tokens as f64 * fraction,
+            slowness,
+            failure_rate: snapshot.failure_rate,
+            local: server.vm.data_centre == *self.data_centre(),
+        };
+        let has_token = admission == Admission::Ready;
+        let token_fraction = if has_token { TOKEN_COST_FRACTION } else { 1.0 };
+        let jitter = rand::rng().random_range(1.0..1.0 + COST_JITTER);
+        let cost = view.expected_wait() * jitter * token_fraction;
+        let baseline_ms =
+            ServerView { uncached_tokens: uncached_tokens as f64, ..view }.baseline_wait();
+        let estimate_ms = baseline_ms * slowness;
+        let is_paused = !snapshot.usable;
+        Candidate { server, is_paused, cost, uncached_tokens, baseline_ms, estimate_ms }
+    }
+}
+
+impl Candidate<'_> {
+    fn select(self, permit: SendPermit) -> SelectedServer {
+        SelectedServer {
+            server: self.server.clone(),
+            uncached_tokens: self.uncached_tokens,
+            baseline_ms: self.baseline_ms,
+            estimate_ms: self.estimate_ms,
+            permit,
+        }
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,11 +9,12 @@
 use crate::control::Config;
 use crate::event::Journal;
 use crate::group::since_start;
-use crate::name::{DataCentre, PoolName};
+use crate::name::{DataCentre, PoolName, VmName};
 use crate::policy::PoolRetryBudget;
 use crate::route::RouterLease;
 use crate::settings::Settings;
-use std::collections::HashMap;
+use crate::vms::Vm;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
@@ -140,6 +141,13 @@
         let _ = started.wait_for(|started| *started).await;
     }
 
+    /// Replaces the VM list.
+    pub(super) fn replace_vms(&self, vms: &[Vm]) {
+        self.servers.replace_list(vms);
+        let listed: HashSet<&VmName> = vms.iter().map(|vm| &vm.name).collect();
+        self.limits.retain(|server| listed.contains(server));
+    }
+
     /// Counts a call to a pool towards its retry budget.
     pub fn record_call(&self, pool: &PoolName) {
         self.with_budget(pool, |budget| budget.record_call(since_start()));
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod handshake;
 mod identity;
+mod limit_report;
 mod link;
 mod message;
 mod outbox;
@@ -17,6 +18,7 @@
 pub use cluster::{Cluster, Unavailable};
 pub use handshake::{ConnectedPeer, HandshakeError, accept, connect};
 pub use identity::PeerIdentity;
+pub use limit_report::{LimitReport, LimitResponse};
 pub use link::{Dialed, Link, dial};
 pub use message::{
     EventResponse, EvidenceView, GroupView, LeaseRequest, LeaseResponse, NodeStatus,
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -12,6 +12,8 @@
     pub const STATE_CHANGES: Self = Self(1);
     /// Since this version, daemons exchange what they know of parts of prompts that end servers.
     pub const DEADLY_PARTS: Self = Self(2);
+    /// Since this version, daemons share the limits that servers name.
+    pub const SERVER_LIMITS: Self = Self(3);
     /// The version of this build.
-    pub const CURRENT: Self = Self::DEADLY_PARTS;
+    pub const CURRENT: Self = Self::SERVER_LIMITS;
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -3,8 +3,9 @@
 #![allow(missing_docs, reason = "the macro generates undocumented items")]
 
 use super::{
-    EventResponse, LeaseRequest, LeaseResponse, NodeStatus, OperatorRequest, OperatorResponse,
-    PartReport, PartResponse, PeerIdentity, RenewRequest, RenewResponse, SubmitResponse,
+    EventResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
+    OperatorRequest, OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest,
+    RenewResponse, SubmitResponse,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -33,4 +34,7 @@
     /// Counts what a router knows of parts of prompts that end servers, if this daemon leads the
     /// control group, and returns what all know. Needs protocol version 2.
     async fn share_parts(report: PartReport) -> PartResponse;
+    /// Counts what a router has heard of the limits of servers, if this daemon leads the control
+    /// group, and returns what all know and tokens for these servers. Needs protocol version 3.
+    async fn share_limits(report: LimitReport) -> LimitResponse;
 }
--- /dev/null
+++ b/src/policy/local_limits.rs
@@ -0,0 +1,321 @@
+//! A router's side of the limits that servers name: what it has heard, and the tokens that it holds.
+//! See [`SharedLimits`](super::SharedLimits) for the leader's side.
+
+use super::{
+    HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, OwnShare, ServerPace,
+    TokenCount,
+};
+use crate::name::VmName;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// How long a token may be used, from when the router asked for it.
+const TOKEN_TTL: Duration = Duration::from_secs(1);
+/// Without a response of the leader for this long, the router takes its own part of each limit. The
+/// leader leaves that part out sooner, see [`SILENT_AFTER`](super::SILENT_AFTER).
+const FALL_BACK_AFTER: Duration = Duration::from_millis(2_500);
+/// How long a call that went to another server, as there was no token, shows demand for one.
+const WANT_TTL: Duration = Duration::from_secs(1);
+/// The most tokens that are asked for because of such calls, for one server.
+const MAX_WANTED: u32 = 8;
+/// Limits from which on nothing is limited, in requests a second.
+const MAX_LIMIT: f64 = 10_000.0;
+/// The longest time between two requests that a router sends to a limited server by itself.
+const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
+/// A change of a limit by more than this fraction is reported at once.
+const NEWS_CHANGE: f64 = 0.1;
+/// How long the largest number of routers is remembered: a new leader counts them only bit by bit.
+const FLEET_TTL: Duration = Duration::from_secs(10);
+
+/// Limits, tokens and demand of one router.
+#[derive(Debug)]
+pub struct LocalLimits {
+    /// Where this router's own parts begin, as a fraction of their interval: those of different
+    /// routers should not all begin at once.
+    phase: f64,
+    servers: BTreeMap<VmName, LocalLimit>,
+    /// What the leader's last answer told.
+    position: LimitPosition,
+    /// When the last report that was answered was sent.
+    answered_at: Option<Duration>,
+    /// Numbers of routers, and when they were told.
+    fleet: VecDeque<(Duration, u32)>,
+}
+
+#[derive(Debug)]
+struct LocalLimit {
+    limit: f64,
+    /// When the newest news of it was true.
+    heard_at: Duration,
+    /// Whether the server has named no limit since then.
+    has_ended: bool,
+    /// Whether the leader has not yet been told of the newest news.
+    unreported: bool,
+    /// When each of the tokens expires, the next first.
+    tokens: VecDeque<Duration>,
+    wanted: u32,
+    wanted_at: Duration,
+    /// This router's own part, for times without a leader.
+    share: OwnShare,
+    /// What the leader said of the pace of its tokens: a second, for this router.
+    pace: Option<f64>,
+}
+
+/// Whether a request may be sent to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// The server has no limit.
+    Free,
+    /// There is a token for it.
+    Ready,
+    /// There is no token for it now.
+    Dry,
+}
+
+/// A token, which permits one request until it expires.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendToken {
+    expires_at: Duration,
+}
+
+impl LocalLimit {
+    fn new(now: Duration, limit: f64, heard_at: Duration) -> Self {
+        Self {
+            limit,
+            heard_at,
+            has_ended: false,
+            unreported: false,
+            tokens: VecDeque::new(),
+            wanted: 0,
+            wanted_at: now,
+            share: OwnShare::default(),
+            pace: None,
+        }
+    }
+
+    fn set_limit(&mut self, limit: f64) {
+        if limit < self.limit * (1.0 - NEWS_CHANGE) {
+            self.tokens.clear();
+        }
+        self.limit = limit;
+        self.has_ended = false;
+    }
+
+    fn drop_expired(&mut self, now: Duration) {
+        while self.tokens.front().is_some_and(|expires_at| *expires_at <= now) {
+            self.tokens.pop_front();
+        }
+    }
+}
+
+/// The time between two requests that a router sends to a server by itself.
+fn interval(known: &LocalLimit, fleet: u32) -> Duration {
+    let rate = known.limit / f64::from(fleet);
+    Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_INTERVAL).min(MAX_INTERVAL)
+}
+
+impl LocalLimits {
+    /// Knows no limits yet; `phase`, from 0 to 1, should differ from router to router.
+    pub fn new(phase: f64) -> Self {
+        Self {
+            phase,
+            servers: BTreeMap::new(),
+            position: LimitPosition::default(),
+            answered_at: None,
+            fleet: VecDeque::new(),
+        }
+    }
+
+    /// Records what a response says of its server's limit, in requests a second; `sent_at` is when
+    /// the call was sent. Returns whether the leader has to know of it at once.
+    pub fn hear(
+        &mut self,
+        now: Duration,
+        sent_at: Duration,
+        server: &VmName,
+        limit: Option<f64>,
+    ) -> bool {
+        let limit = limit.filter(|limit| *limit < MAX_LIMIT);
+        match (self.servers.get_mut(server), limit) {
+            (Some(known), Some(limit)) => {
+                let changed =
+                    known.has_ended || (limit - known.limit).abs() > NEWS_CHANGE * known.limit;
+                known.unreported |= known.has_ended || limit != known.limit;
+                known.heard_at = now;
+                known.set_limit(limit);
+                changed
+            }
+            (None, Some(limit)) => {
+                let known = LocalLimit { unreported: true, ..LocalLimit::new(now, limit, now) };
+                self.servers.insert(server.clone(), known);
+                true
+            }
+            // An answer to an older call may have been on its way when the limit was named.
+            (Some(known), None) if !known.has_ended && sent_at > known.heard_at => {
+                known.heard_at = sent_at;
+                (known.has_ended, known.unreported) = (true, true);
+                true
+            }
+            (_, None) => false,
+        }
+    }
+
+    /// The limit of a server, in requests a second; `None` without one.
+    pub fn limit(&self, server: &VmName) -> Option<f64> {
+        self.servers.get(server).map(|known| known.limit)
+    }
+
+    /// The number of servers with a limit.
+    pub fn count(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Sets the number of routers that the leader has told of.
+    pub fn set_fleet(&mut self, now: Duration, routers: u32) {
+        self.fleet.retain(|(at, _)| now < *at + FLEET_TTL);
+        self.fleet.retain(|(_, known)| *known > routers);
+        self.fleet.push_back((now, routers.max(1)));
+    }
+
+    fn fleet(&self) -> u32 {
+        self.fleet.iter().map(|(_, routers)| *routers).max().unwrap_or(1)
+    }
+
+    /// Whether a request may be sent to a server now.
+    pub fn admission(&mut self, now: Duration, server: &VmName) -> Admission {
+        let (starts_at, fleet, phase) = (self.own_from(), self.fleet(), self.phase);
+        let Some(known) = self.servers.get_mut(server) else { return Admission::Free };
+        known.drop_expired(now);
+        let has_own = |known: &mut LocalLimit| {
+            now >= starts_at && known.share.is_due(now, starts_at, interval(known, fleet), phase)
+        };
+        match !known.tokens.is_empty() || has_own(known) {
+            true => Admission::Ready,
+            false => Admission::Dry,
+        }
+    }
+
+    /// Takes a token for a server, if there is one.
+    pub fn take(&mut self, now: Duration, server: &VmName) -> Option<SendToken> {
+        if self.admission(now, server) != Admission::Ready {
+            return None;
+        }
+        let fleet = self.fleet();
+        let known = self.servers.get_mut(server)?;
+        let expires_at = known.tokens.pop_front().unwrap_or_else(|| {
+            known.share.take(interval(known, fleet));
+            now + TOKEN_TTL
+        });
+        Some(SendToken { expires_at })
+    }
+
+    /// Whether a token may still be used.
+    pub fn is_valid(&self, now: Duration, token: SendToken) -> bool {
+        now < token.expires_at
+    }
+
+    /// Gives a token back that was not used.
+    pub fn give_back(&mut self, now: Duration, server: &VmName, token: SendToken) {
+        if let Some(known) = self.servers.get_mut(server).filter(|_| now < token.expires_at) {
+            known.tokens.push_front(token.expires_at);
+        }
+    }
+
+    /// Records that a call would have gone to a server, had there been a token. Returns whether that
+    /// is news.
+    pub fn want(&mut self, now: Duration, server: &VmName) -> bool {
+        let Some(known) = self.servers.get_mut(server) else { return false };
+        if now >= known.wanted_at + WANT_TTL {
+            known.wanted = 0;
+        }
+        known.wanted_at = now;
+        known.wanted = (known.wanted + 1).min(MAX_WANTED);
+        known.wanted == 1
+    }
+
+    /// From when on this router takes its own parts, unless a leader answers.
+    fn own_from(&self) -> Duration {
+        self.answered_at.unwrap_or_default() + FALL_BACK_AFTER
+    }
+
+    /// Tokens a second that this router may expect of a server.
+    pub fn expected_rate(&self, now: Duration, server: &VmName) -> f64 {
+        let Some(known) = self.servers.get(server) else { return 0.0 };
+        let own = known.limit / f64::from(self.fleet());
+        known.pace.filter(|_| now < self.own_from()).unwrap_or(own)
+    }
+
+    /// The state of the limits that this router knows.
+    pub fn position(&self) -> LimitPosition {
+        self.position
+    }
+
+    /// What is to be reported now; `asks` are the tokens that waiting calls need.
+    pub fn report(&self, now: Duration, mut asks: Vec<LimitAsk>) -> LimitDemand {
+        let heard = |(name, known): (&VmName, &LocalLimit)| HeardLimit {
+            server: name.clone(),
+            limit: (!known.has_ended).then_some(known.limit),
+            age: now.saturating_sub(known.heard_at),
+        };
+        let unreported = self.servers.iter().filter(|(_, known)| known.unreported);
+        let heard = unreported.map(heard).collect();
+        let is_wanted = |known: &LocalLimit| known.wanted > 0 && now < known.wanted_at + WANT_TTL;
+        let wanted = self.servers.iter().filter(|(_, known)| is_wanted(known));
+        asks.extend(wanted.map(|(name, known)| LimitAsk {
+            servers: vec![name.clone()],
+            count: known.wanted,
+            rank: u8::MAX,
+        }));
+        LimitDemand { heard, asks, fleet: self.fleet() }
+    }
+
+    /// Takes in the leader's answer to the report that was sent at `asked_at`. Returns whether there
+    /// is something to report to it.
+    pub fn apply(&mut self, now: Duration, asked_at: Duration, news: &LimitNews) -> bool {
+        self.answered_at = Some(asked_at);
+        for known in self.servers.values_mut() {
+            known.unreported &= known.heard_at > asked_at;
+            known.share = OwnShare::default();
+        }
+        let is_new_leader = news.position.term != self.position.term;
+        if is_new_leader {
+            self.servers.values_mut().for_each(|known| known.unreported = true);
+        }
+        self.position = news.position;
+        for KnownLimit { server, limit } in &news.limits {
+            match (self.servers.get_mut(server), limit) {
+                // What this router has heard since is newer.
+                (Some(known), _) if known.unreported => {}
+                (Some(known), Some(limit)) => known.set_limit(*limit),
+                (Some(_), None) => {
+                    self.servers.remove(server);
+                }
+                (None, Some(limit)) => {
+                    self.servers.insert(server.clone(), LocalLimit::new(now, *limit, asked_at));
+                }
+                (None, None) => {}
+            }
+        }
+        for TokenCount { server, count } in &news.tokens {
+            if let Some(known) = self.servers.get_mut(server) {
+                known.wanted = known.wanted.saturating_sub(*count);
+                let expiries = std::iter::repeat_n(asked_at + TOKEN_TTL, *count as usize);
+                known.tokens.extend(expiries);
+            }
+        }
+        for ServerPace { server, rate, routers } in &news.paces {
+            if let Some(known) = self.servers.get_mut(server) {
+                known.pace = Some(rate / f64::from((*routers).max(1)));
+            }
+        }
+        is_new_leader && !self.servers.is_empty()
+    }
+
+    /// Forgets servers that are no longer in the VM list.
+    pub fn retain<F>(&mut self, is_listed: F)
+    where
+        F: Fn(&VmName) -> bool,
+    {
+        self.servers.retain(|server, _| is_listed(server));
+    }
+}
