Wait for a limited server only as long as the answer can still be in time

Cause: a queue that is longer than the target latency delays everybody and serves nobody more. Change: a call waits for a token until half of its route's target latency has passed, another try for a quarter of it; half of the time left is the bound as before. What would come later is refused at once with its turn.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -22,9 +22,12 @@
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// How much longer the largest model takes to start its response than the smallest, as a factor.
 const LARGEST_MODEL_SLOWDOWN: f64 = 2.2;
-/// The part of its remaining time that a call may wait for a limited server; the rest is for the
-/// answer.
+/// The part of the route's target latency, from its arrival, and of its remaining time that a call
+/// may wait for a limited server; the rest is for the answer. A longer queue would only make all
+/// answers late.
 const LIMIT_WAIT_FRACTION: f64 = 0.5;
+/// The part of the target latency that a call may wait in any case, as for another try.
+const LEAST_WAIT_FRACTION: f64 = 0.25;
 
 /// An accepted call, with everything that its attempts need.
 #[derive(Clone)]
@@ -253,8 +256,7 @@
                 Selection::Limited(servers) => servers,
                 Selection::Nothing => return Err(self.final_error(history)),
             };
-            let left = self.deadline.saturating_duration_since(Instant::now());
-            let until = Instant::now() + left.mul_f64(LIMIT_WAIT_FRACTION);
+            let until = self.limit_wait_end();
             let Some(token) = self.gateway.limits.wait(&servers, self.rank, until).await else {
                 return Err(self.limited_error(history, &servers));
             };
@@ -266,6 +268,15 @@
         }
     }
 
+    /// Until when the call may wait for a limited server.
+    fn limit_wait_end(&self) -> Instant {
+        let (now, target) = (Instant::now(), self.route.latency_target);
+        let in_time = self.started + target.mul_f64(LIMIT_WAIT_FRACTION);
+        let least = now + target.mul_f64(LEAST_WAIT_FRACTION);
+        let left = self.deadline.saturating_duration_since(now);
+        in_time.max(least).min(now + left.mul_f64(LIMIT_WAIT_FRACTION))
+    }
+
     /// The call for the largest model, if the confidence of the response is too low to keep it and
     /// the retry budget allows another attempt.
     fn escalation(&self, exchange: &Exchange, history: &AttemptHistory) -> Option<Self> {
