Count plain answers as sound runs

What was seen: a request that was whole at every second try was taken for one that ends servers (platform/tests/deadly_requests.rs, while requests began to be watched); the leader counted no sound run of plain answers at all. Cause: whether an answer ends with its connection is told by its headers, and collect_response had taken them out before it asked, so that every plain answer counted as no proof that its server lives. Change: the headers are copied.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -166,7 +166,8 @@
     })?;
     let mut response = Response::new(full_body(body));
     *response.status_mut() = exchange.response.status();
-    let mut headers = std::mem::take(exchange.response.headers_mut());
+    // Whether the run was sound is told by the headers too, so they stay.
+    let mut headers = exchange.response.headers().clone();
     strip_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     *response.headers_mut() = headers;
