--- a/src/cli/parts.rs
+++ b/src/cli/parts.rs
@@ -4,7 +4,7 @@
 use super::options::PartsArgs;
 use crate::error::Error;
 
-/// Prints the parts of prompts that are blocked, or lets calls with one through again.
+/// Prints the parts of prompts and the requests that are blocked, or lets calls with one through again.
 pub fn run(client: &Client, args: &PartsArgs) -> Result<(), Error> {
     match &args.clear {
         Some(part) => clear_part(client, part),
@@ -20,11 +20,14 @@
     }
     let parts = parts.as_array().map_or(&[][..], |parts| parts);
     if parts.is_empty() {
-        println!("no part of a prompt is blocked");
+        println!("no part of a prompt is blocked, and no request");
     }
     for part in parts {
         let text = |key: &str| part[key].as_str().unwrap_or("");
-        println!("{}: {}", text("part"), text("evidence"));
+        match text("request") {
+            "" => println!("{}: {}", text("part"), text("evidence")),
+            request => println!("request {request}: {}", text("evidence")),
+        }
     }
     Ok(())
 }
@@ -33,7 +36,7 @@
     let answer = client.delete(&format!("/v1/blocked-parts/{part}"))?;
     match client.wants_json() {
         true => println!("{answer}"),
-        false => println!("calls with part {part} are let through again"),
+        false => println!("calls with {part} are let through again"),
     }
     Ok(())
 }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -47,6 +47,15 @@
     },
     /// Lets calls with a part through again.
     ClearPart(u64),
+    /// Blocks a request; does not change the configuration's revision.
+    BlockRequest {
+        /// The id of the request.
+        request: u64,
+        /// The observations behind the decision, as text for operators.
+        evidence: String,
+    },
+    /// Lets a request through again.
+    ClearRequest(u64),
 }
 
 /// The result of applying a [`ControlCommand`].
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,8 +1,8 @@
 use super::ticket_history::TicketHistory;
 use super::{
     BlockedParts, Config, ControlCommand, ControlOutcome, ObjectName, PoolRollout, Rollout,
-    RouteTable, StatsSummary, Ticket, TicketAnswer, TicketRecord, TicketRefusal, VersionState,
-    validate,
+    RouteTable, StatsSummary, Suspect, Ticket, TicketAnswer, TicketRecord, TicketRefusal,
+    VersionState, validate,
 };
 use crate::name::VersionKey;
 use serde::{Deserialize, Serialize};
@@ -54,7 +54,7 @@
         &self.summary
     }
 
-    /// Parts of prompts that are blocked.
+    /// Parts of prompts, and requests, that are blocked.
     pub fn blocked_parts(&self) -> &BlockedParts {
         &self.blocked_parts
     }
@@ -88,11 +88,19 @@
                 self.advance_pool_rollout(&before, after)
             }
             ControlCommand::BlockPart { part, evidence } => {
-                self.blocked_parts.block(part, evidence);
+                self.blocked_parts.block(Suspect::Part(part), evidence);
                 ControlOutcome::Unchanged
             }
             ControlCommand::ClearPart(part) => {
-                self.blocked_parts.clear(part);
+                self.blocked_parts.clear(Suspect::Part(part));
+                ControlOutcome::Unchanged
+            }
+            ControlCommand::BlockRequest { request, evidence } => {
+                self.blocked_parts.block(Suspect::Request(request), evidence);
+                ControlOutcome::Unchanged
+            }
+            ControlCommand::ClearRequest(request) => {
+                self.blocked_parts.clear(Suspect::Request(request));
                 ControlOutcome::Unchanged
             }
         }
--- a/src/daemon/operator_requests.rs
+++ b/src/daemon/operator_requests.rs
@@ -1,7 +1,7 @@
 //! Requests of operators, answered by the control group's leader or forwarded to it.
 
 use super::Node;
-use crate::control::{ControlCommand, ControlOutcome, Ticket, TicketAnswer};
+use crate::control::{ControlCommand, ControlOutcome, Suspect, Ticket, TicketAnswer};
 use crate::event::Event;
 use crate::group::since_start;
 use crate::group::{GroupId, ReplicatedState};
@@ -131,12 +131,20 @@
             OperatorRequest::PoolRollout(pool) => OperatorResponse::PoolRollout(
                 self.read_control(|state| state.config().pool_rollouts.get(&pool).cloned()),
             ),
-            OperatorRequest::BlockedParts => OperatorResponse::BlockedParts(
-                self.read_control(|state| state.blocked_parts().clone()),
-            ),
-            OperatorRequest::ClearPart(part) => match self.is_blocked(part) {
-                true => self.commit(ControlCommand::ClearPart(part)).await,
-                false => OperatorResponse::UnknownPart,
+            OperatorRequest::BlockedParts => {
+                let blocked = self.read_control(|state| state.blocked_parts().clone());
+                let requests = blocked.requests.clone();
+                match requests.is_empty() {
+                    true => OperatorResponse::BlockedParts(blocked),
+                    false => OperatorResponse::Blocked(blocked, requests),
+                }
+            }
+            OperatorRequest::ClearPart(id) => match self.blocked_with_id(id) {
+                Some(Suspect::Part(part)) => self.commit(ControlCommand::ClearPart(part)).await,
+                Some(Suspect::Request(request)) => {
+                    self.commit(ControlCommand::ClearRequest(request)).await
+                }
+                None => OperatorResponse::UnknownPart,
             },
             OperatorRequest::LiveRouters => match self.live_routers() {
                 Some(live) => OperatorResponse::LiveRouters(live),
@@ -145,8 +153,12 @@
         }
     }
 
-    fn is_blocked(&self, part: u64) -> bool {
-        self.read_control(|state| state.blocked_parts().parts.contains_key(&part))
+    /// The blocked part or request with this id.
+    fn blocked_with_id(&self, id: u64) -> Option<Suspect> {
+        self.read_control(|state| {
+            let mut all = state.blocked_parts().all().map(|(suspect, _)| suspect);
+            all.find(|suspect| suspect.id() == id)
+        })
     }
 
     fn has_pool(&self, pool: &PoolName) -> bool {
@@ -278,6 +290,7 @@
             format!("roll-out of pool {} to {}", rollout.pool, rollout.target)
         }
         ControlCommand::ClearPart(part) => format!("clearing of part {part:x} of prompts"),
+        ControlCommand::ClearRequest(request) => format!("clearing of request {request:x}"),
         _ => "a change".to_owned(),
     }
 }
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -6,7 +6,7 @@
 use crate::peer::{
     EventResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
     OperatorRequest, OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec,
-    RenewRequest, RenewResponse, SubmitResponse, accept,
+    RenewRequest, RenewResponse, SubmitResponse, SuspectReport, SuspectResponse, accept,
 };
 use bytes::Bytes;
 use futures::StreamExt;
@@ -65,7 +65,14 @@
         if !self.0.cluster.control().status().leading {
             return PartResponse::NotLeader { address: self.0.leader_address() };
         }
-        self.0.share_parts(report).await
+        self.0.share_suspects(report.into()).await.into()
+    }
+
+    async fn share_suspects(self, _: Context, report: SuspectReport) -> SuspectResponse {
+        if !self.0.cluster.control().status().leading {
+            return SuspectResponse::NotLeader { address: self.0.leader_address() };
+        }
+        self.0.share_suspects(report).await
     }
 
     async fn share_limits(self, _: Context, report: LimitReport) -> LimitResponse {
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -3,8 +3,8 @@
 use super::call::Call;
 use super::server_selection::{pick_pool, stable_hash};
 use super::{Access, Gateway, GatewayError, RequestHead, RequestedModel, RouteIndex};
-use crate::control::{CallerLimits, KeyHash};
-use crate::name::{ModelName, PoolName};
+use crate::control::{CallerLimits, KeyHash, Suspect};
+use crate::name::{ModelName, OrganisationName, PoolName};
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, header};
@@ -60,12 +60,19 @@
         }
         Access::Denied => return Err(GatewayError::InvalidKey),
     };
-    if let Some(part) = gateway.parts.blocked_part(&head) {
-        return Err(GatewayError::PartBlocked(part));
+    let mut suspects: Vec<Suspect> = head.shared_parts().map(Suspect::Part).collect();
+    if let Some(part) = gateway.parts.blocked(&suspects) {
+        return Err(GatewayError::Blocked(part));
     }
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let deadline = started + timeout;
     let body = read_body(body, index.limits(), deadline.min(started + RECEIVE_TIMEOUT)).await?;
+    let caller = organisation.as_ref().map(OrganisationName::as_str);
+    let request = gateway.hasher.id(&parts.method, &parts.uri, caller, &body);
+    suspects.push(Suspect::Request(request));
+    if let Some(request) = gateway.parts.blocked(&suspects) {
+        return Err(GatewayError::Blocked(request));
+    }
     let hash = stable_hash(head.id.as_ref().map_or(&[][..], |id| id.as_bytes()));
     let pool = pick_pool(&route, hash).ok_or_else(no_route)?.clone();
     let model = match &head.model {
@@ -80,6 +87,8 @@
         parts: parts_for_model(&head, model.as_ref()),
         priority: has_engine(&index, &pool).then_some(rank),
         rank,
+        suspects: suspects.into(),
+        ended_servers: Arc::default(),
         index,
         pool,
         key: organisation.as_ref().and(key),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,17 +7,20 @@
 use super::stream_relay::{StreamRelay, relay_stream};
 use super::{Access, Gateway, GatewayError, RequestHead, RouteIndex};
 use crate::backend::BodyError;
-use crate::control::{ConfiguredRoute, KeyHash};
+use crate::control::{ConfiguredRoute, KeyHash, Suspect};
 use crate::name::{ModelName, OrganisationName, PoolName, VersionName, VmName};
 use crate::policy::accepts_answer;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Instant;
 
 /// The most servers tried for one call, including those that could not be reached.
 const MAX_SERVERS_TRIED: usize = 8;
+/// Servers that may end under one call before it is not sent to another one.
+const MAX_ENDED_SERVERS: u32 = 2;
 /// The largest response body that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// How much longer the largest model takes to start its response than the smallest, as a factor.
@@ -55,6 +58,10 @@
     pub model: Option<ModelName>,
     /// Prompt parts as (id, tokens); ids are specific to the model, see [`parts_for_model`].
     pub parts: Vec<(u64, u32)>,
+    /// What would be to blame if servers ended under this call.
+    pub suspects: Arc<[Suspect]>,
+    /// Servers that ended under this call before they had answered for long.
+    pub ended_servers: Arc<AtomicU32>,
     /// The HTTP method.
     pub method: Method,
     /// Path and query.
@@ -95,7 +102,18 @@
     call.gateway.count_for_silence();
     let mut history = AttemptHistory::default();
     let work = try_servers(&call, &mut history);
-    match tokio::time::timeout_at(deadline.into(), work).await {
+    let served = tokio::select! {
+        served = tokio::time::timeout_at(deadline.into(), work) => served,
+        // Dropping the attempt closes its connection: the call may still wait in its server's queue.
+        suspect = call.gateway.parts.until_blocked(&call.suspects) => {
+            log::info!("call {}: given up, as {suspect} ends servers", call.log_id());
+            Ok(Err(match history.sends {
+                0 => GatewayError::Blocked(suspect),
+                _ => GatewayError::ResponseLost(format!("{suspect} ends servers")),
+            }))
+        }
+    };
+    match served {
         Ok(response) => response,
         Err(_) if history.sends == 0 => Err(GatewayError::NotSentInTime),
         Err(_) => Err(GatewayError::TimedOut),
@@ -189,11 +207,11 @@
                 return Err(self.final_error(history));
             }
             let selected = self.next_server(history).await?;
-            // The part may have been found while the call was under way.
-            if let Some(part) = self.gateway.parts.blocked_part(&self.head) {
+            // This may have been found while the call was under way.
+            if let Some(suspect) = self.gateway.parts.blocked(&self.suspects) {
                 return Err(match &history.last_failure {
                     Some(cause) => GatewayError::ResponseLost(cause.clone()),
-                    None => GatewayError::PartBlocked(part),
+                    None => GatewayError::Blocked(suspect),
                 });
             }
             let budget_taken = std::mem::take(&mut history.budget_taken);
@@ -283,8 +301,8 @@
     fn escalation(&self, exchange: &Exchange, history: &AttemptHistory) -> Option<Self> {
         let (model, confidence) = (self.model.as_ref()?, exchange.head.confidence?);
         let largest = self.route.models.last().filter(|largest| *largest != model)?.clone();
-        // A part that may end servers would meet another one; this answer is better than none.
-        if !self.may_retry_after_run(history) || self.gateway.parts.is_suspect(&self.head) {
+        // What may end servers would meet another one; this answer is better than none.
+        if !self.may_retry_after_run(history) || self.gateway.parts.is_watched(&self.suspects) {
             return None;
         }
         let parts = parts_for_model(&self.head, Some(&largest));
@@ -339,10 +357,10 @@
 
     /// Whether the call may be sent to another server: route, attempt limit and deadline allow it.
     pub(super) fn may_retry(&self, history: &AttemptHistory) -> bool {
-        let ends_servers =
-            history.last_failure.is_some() && self.gateway.parts.is_suspect(&self.head);
-        if ends_servers {
-            log::info!("call {}: not tried again, as its prompt may end servers", self.log_id());
+        let may_end_servers = self.ended_servers.load(Ordering::Relaxed) >= MAX_ENDED_SERVERS
+            || (history.last_failure.is_some() && self.gateway.parts.is_watched(&self.suspects));
+        if may_end_servers {
+            log::info!("call {}: not tried again, as it may end servers", self.log_id());
             return false;
         }
         let is_repeatable = history.last_failure.is_none() || self.route.kind.is_retry_safe();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -141,7 +141,7 @@
         let (route, pool) = (self.route.clone(), self.pool.clone());
         connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
         let request = self.request(&server.vm.name, last_event);
-        let mut run = self.gateway.parts.begin_run(&self.head);
+        let mut run = self.gateway.parts.begin_run(&self.suspects, &self.ended_servers);
         let sent_at = Instant::now();
         permit.spend();
         let result = self.wait_for_response(timeout, connection.send_unchanged(request)).await;
--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -1,8 +1,10 @@
+use crate::control::Suspect;
 use http::StatusCode;
 use std::time::Duration;
 use thiserror::Error;
 
-/// When a caller may ask again with a part that ends servers. An operator has to clear it first.
+/// When a caller may ask again with what ends servers: it is tried again then, unless an operator
+/// clears it before.
 const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(600);
 
 /// Why a call got no response from a backend server.
@@ -45,12 +47,12 @@
     /// The deadline passed before the call was sent.
     #[error("the deadline passed before the call was sent; retry with a longer timeout")]
     NotSentInTime,
-    /// Servers have ended under calls with a part of this prompt.
+    /// Servers have ended under calls with a part of this prompt, or under this request.
     #[error(
-        "part {0:x} of the prompt ends the servers that answer it, so it is sent to none; \
-         leave it out, or ask an operator to clear it"
+        "{0} ends the servers that run it, so it is sent to none; leave it out, or ask an operator \
+         to clear it"
     )]
-    PartBlocked(u64),
+    Blocked(Suspect),
     /// No route matches the host and path.
     #[error("there is no route for {0}; check the host and path")]
     NoRoute(String),
@@ -85,7 +87,7 @@
             | GatewayError::ServersBackingOff { .. }
             | GatewayError::ServersLimited { .. }
             | GatewayError::ServersFull
-            | GatewayError::PartBlocked(_)
+            | GatewayError::Blocked(_)
             | GatewayError::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             GatewayError::NoRoute(_) => StatusCode::NOT_FOUND,
             GatewayError::InvalidKey => StatusCode::UNAUTHORIZED,
@@ -107,7 +109,7 @@
             GatewayError::ServersBackingOff { wait, .. }
             | GatewayError::ServersLimited { wait, .. } => Some(*wait),
             GatewayError::Starting => Some(Duration::from_secs(1)),
-            GatewayError::PartBlocked(_) => Some(BLOCKED_RETRY_DELAY),
+            GatewayError::Blocked(_) => Some(BLOCKED_RETRY_DELAY),
             _ => None,
         }
     }
@@ -123,7 +125,8 @@
             GatewayError::ServersLimited { .. } => "limited",
             GatewayError::ServersFull => "full",
             GatewayError::NotSentInTime => "late",
-            GatewayError::PartBlocked(_) => "part_blocked",
+            GatewayError::Blocked(Suspect::Part(_)) => "part_blocked",
+            GatewayError::Blocked(Suspect::Request(_)) => "request_blocked",
             GatewayError::NoRoute(_) => "no_route",
             GatewayError::InvalidKey => "no_key",
             GatewayError::Malformed(_) => "malformed",
--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -120,6 +120,7 @@
     /// Learns what ends servers and what their limits are, before the first calls are accepted.
     async fn learn_first(&self, peer: &Dialed) {
         let (gateway, router) = (&self.gateway, &self.router_id());
+        gateway.parts.report_anew();
         if peer.version >= ProtocolVersion::DEADLY_PARTS {
             part_loop::share_once(gateway, router, peer, false).await;
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod limit_loop;
 mod part_loop;
 mod part_watch;
+mod request_hasher;
 mod response;
 mod response_timeout;
 mod route_index;
@@ -35,6 +36,7 @@
     ForwardedHead, HeaderFormat, NamedLimit, PromptPart, ReportedLoad, RequestHead, RequestedModel,
     ResponseHead, TokenCounts,
 };
+pub use request_hasher::RequestHasher;
 pub use route_index::{Access, RouteIndex};
 pub use run::run;
 pub use state::Gateway;
--- a/src/gateway/part_loop.rs
+++ b/src/gateway/part_loop.rs
@@ -1,12 +1,13 @@
-//! Exchanges with the leader what is known of parts of prompts that end servers.
+//! Exchanges with the leader what is known of parts of prompts, and of requests, that end servers.
 
 use super::Gateway;
 use super::leader_loop::{LeaderConnection, await_leader, pause};
 use super::part_watch::PartNews;
-use crate::control::RouterId;
-use crate::peer::{Dialed, PartReport, PartResponse, ProtocolVersion};
+use crate::control::{BlockedParts, RouterId};
+use crate::peer::{Dialed, ProtocolVersion, SuspectReport, SuspectResponse};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tarpc::client::RpcError;
 use tarpc::context;
 use tokio::sync::watch;
 
@@ -28,32 +29,41 @@
 pub async fn share_once(gateway: &Gateway, router: &RouterId, dialed: &Dialed, wait: bool) -> bool {
     let PartNews { version, watched, ended, sound, sound_runs } = gateway.parts.take_news();
     let wait = wait && ended.is_empty() && sound.is_empty();
-    let unreported = ended.clone();
+    let last = ended.iter().map(|(number, _)| *number).max().unwrap_or(0);
     let router = router.clone();
-    let report = PartReport { router, version, watched, ended, sound, sound_runs, wait };
-    let mut context = context::current();
-    context.deadline = Instant::now() + RESPONSE_TIMEOUT;
-    let response = dialed.client.share_parts(context, report);
+    let report = SuspectReport { router, version, watched, ended, sound, sound_runs, wait };
     let response = tokio::select! {
-        response = response => response,
+        response = send(dialed, report) => response,
         () = gateway.parts.news.notified(), if wait => return true,
     };
     match response {
-        Ok(PartResponse::Known { blocked, watched }) => {
+        Ok(SuspectResponse::Known { blocked, watched }) => {
+            gateway.parts.confirm(last);
+            let blocked = blocked.map(|(parts, requests)| BlockedParts { requests, ..parts });
             if let Some(count) = gateway.parts.update(blocked, watched) {
                 metrics::gauge!("samphireshift_blocked_parts").set(count as f64);
-                log::info!("{count} parts of prompts are blocked");
+                log::info!("{count} parts of prompts and requests are blocked");
             }
             true
         }
-        Ok(PartResponse::NotLeader { .. }) => {
-            gateway.parts.put_back(unreported);
+        Ok(SuspectResponse::NotLeader { .. }) => {
+            gateway.parts.report_anew();
             false
         }
         Err(error) => {
-            log::info!("report on parts of prompts failed: {error}");
-            gateway.parts.put_back(unreported);
+            log::info!("report on parts of prompts and requests failed: {error}");
+            gateway.parts.report_anew();
             false
         }
     }
 }
+
+/// Sends a report, in the form that the leader's build reads.
+async fn send(dialed: &Dialed, report: SuspectReport) -> Result<SuspectResponse, RpcError> {
+    let mut context = context::current();
+    context.deadline = Instant::now() + RESPONSE_TIMEOUT;
+    if dialed.version >= ProtocolVersion::DEADLY_REQUESTS {
+        return dialed.client.share_suspects(context, report).await;
+    }
+    dialed.client.share_parts(context, report.into()).await.map(SuspectResponse::from)
+}
--- a/src/gateway/part_watch.rs
+++ b/src/gateway/part_watch.rs
@@ -1,65 +1,89 @@
-//! What this router knows of parts of prompts that end servers.
+//! What this router knows of parts of prompts, and of requests, that end servers.
 
-use super::RequestHead;
-use crate::control::BlockedParts;
+use crate::control::{BlockedParts, Suspect};
 use crate::name::VmName;
 use crate::policy::RunEnd;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// A run that has been answered for this long is sound, whatever comes later: a deadly part ends its
 /// server when the answer begins.
 const SOUND_ANSWER_TIME: Duration = Duration::from_secs(1);
-/// How long a sound run with a part is remembered.
+/// How long a sound run is remembered.
 const SOUND_TTL: Duration = Duration::from_secs(30);
-/// Parts whose last sound run is remembered.
-const MAX_SOUND: usize = 8_192;
-/// Ends that wait to be reported; more than these say nothing new.
-const MAX_UNREPORTED: usize = 256;
-
-/// Blocked and watched parts, and what is to be reported of runs.
-#[derive(Debug, Default)]
+/// Suspects whose last sound run is remembered.
+const MAX_SOUND: usize = 32_768;
+/// How long the end of a server is remembered, for another leader.
+const ENDED_TTL: Duration = Duration::from_secs(120);
+/// Ends that are remembered; more than these say nothing new.
+const MAX_ENDED: usize = 256;
+
+/// What is blocked and watched, and what is to be reported of runs.
+#[derive(Debug)]
 pub struct PartWatch {
     inner: Mutex<Inner>,
     /// Notified when there is something to report.
     pub news: Notify,
+    /// Changes with what is blocked.
+    changed: watch::Sender<u64>,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
     /// `None` until the leader has sent them.
     blocked: Option<BlockedParts>,
-    watched: Vec<u64>,
-    /// When the last sound run with a part ended.
-    sound: HashMap<u64, Instant>,
+    watched: Vec<Suspect>,
+    /// When the last sound run with a suspect ended.
+    sound: HashMap<Suspect, Instant>,
     /// What was last reported of them.
-    reported: HashMap<u64, Instant>,
-    ended: Vec<RunEnd>,
+    reported: HashMap<Suspect, Instant>,
+    ended: VecDeque<NumberedEnd>,
+    /// The number of the last end.
+    last_number: u64,
+    /// The number of the last end that this leader has counted.
+    counted: u64,
     sound_runs: u64,
 }
 
+/// The end of a server, numbered in order.
+#[derive(Debug)]
+struct NumberedEnd {
+    number: u64,
+    at: Instant,
+    end: RunEnd,
+}
+
 /// What a report of this router holds.
 #[derive(Debug, Default, PartialEq)]
 pub struct PartNews {
-    /// The version of the blocked parts; `None` without any.
+    /// The version of what is blocked; `None` without any.
     pub version: Option<u64>,
-    /// The watched parts.
-    pub watched: Vec<u64>,
-    /// Calls whose server ended.
-    pub ended: Vec<RunEnd>,
-    /// Watched parts with a new sound run, and how long ago it ended.
-    pub sound: Vec<(u64, Duration)>,
+    /// What is watched.
+    pub watched: Vec<Suspect>,
+    /// Calls whose server ended, with their numbers.
+    pub ended: Vec<(u64, RunEnd)>,
+    /// Watched suspects with a new sound run, and how long ago it ended.
+    pub sound: Vec<(Suspect, Duration)>,
     /// Sound runs since the start.
     pub sound_runs: u64,
 }
 
+impl Default for PartWatch {
+    fn default() -> Self {
+        Self { inner: Mutex::default(), news: Notify::new(), changed: watch::Sender::new(0) }
+    }
+}
+
 /// One call at one server.
 #[derive(Debug)]
 pub struct RunRecord {
     watch: Arc<PartWatch>,
-    parts: Vec<u64>,
+    suspects: Arc<[Suspect]>,
+    /// Servers that ended under the same call.
+    ended_servers: Arc<AtomicU32>,
     /// When the answer began.
     answer_began: Option<Instant>,
     is_sound: bool,
@@ -76,44 +100,60 @@
 
     /// The server ended, this long after the call was sent to it.
     pub fn server_ended(&mut self, server: &VmName, age: Duration) {
-        // The parts of a run that was answered for long have not ended the server.
-        let parts = if self.is_sound { Vec::new() } else { std::mem::take(&mut self.parts) };
-        let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+        // A run that was answered for long has not ended the server.
+        let suspects = if self.is_sound { Vec::new() } else { self.suspects.to_vec() };
+        self.ended_servers.fetch_add(u32::from(!self.is_sound), Ordering::Relaxed);
+        let names: Vec<String> = suspects.iter().map(Suspect::to_string).collect();
         let age_ms = age.as_millis();
-        log::info!("server {server} ended {age_ms} ms into a call with parts {}", ids.join(", "));
-        self.watch.record_end(RunEnd { parts, server: server.clone(), age });
+        log::info!("server {server} ended {age_ms} ms into a call with {}", names.join(", "));
+        self.watch.record_end(RunEnd {
+            suspects,
+            server: server.clone(),
+            age,
+            ago: Duration::ZERO,
+        });
+        self.suspects = Arc::default();
     }
 
     /// The whole answer has arrived, or enough of it.
     pub fn answered(&mut self) {
         if !std::mem::replace(&mut self.is_sound, true) {
-            self.watch.record_sound(&self.parts);
+            self.watch.record_sound(&self.suspects);
         }
     }
 }
 
 impl PartWatch {
     /// The record of a call that is sent to a server.
-    pub fn begin_run(self: &Arc<Self>, head: &RequestHead) -> RunRecord {
+    pub fn begin_run(
+        self: &Arc<Self>,
+        suspects: &Arc<[Suspect]>,
+        ended_servers: &Arc<AtomicU32>,
+    ) -> RunRecord {
         RunRecord {
             watch: self.clone(),
-            parts: head.shared_parts().collect(),
+            suspects: suspects.clone(),
+            ended_servers: ended_servers.clone(),
             answer_began: None,
             is_sound: false,
         }
     }
 
     fn record_end(&self, end: RunEnd) {
+        let now = Instant::now();
         let mut inner = self.inner.lock().expect("part watch lock");
-        if inner.ended.len() >= MAX_UNREPORTED {
-            return;
+        inner.ended.retain(|ended| now.duration_since(ended.at) < ENDED_TTL);
+        if inner.ended.len() >= MAX_ENDED {
+            inner.ended.pop_front();
         }
-        inner.ended.push(end);
+        inner.last_number += 1;
+        let number = inner.last_number;
+        inner.ended.push_back(NumberedEnd { number, at: now, end });
         drop(inner);
         self.news.notify_one();
     }
 
-    fn record_sound(&self, parts: &[u64]) {
+    fn record_sound(&self, suspects: &[Suspect]) {
         let now = Instant::now();
         let mut inner = self.inner.lock().expect("part watch lock");
         inner.sound_runs += 1;
@@ -124,9 +164,9 @@
             inner.sound.clear();
         }
         let mut is_news = false;
-        for part in parts {
-            inner.sound.insert(*part, now);
-            is_news |= inner.watched.contains(part);
+        for suspect in suspects {
+            inner.sound.insert(*suspect, now);
+            is_news |= inner.watched.contains(suspect);
         }
         drop(inner);
         if is_news {
@@ -134,18 +174,30 @@
         }
     }
 
-    /// The first blocked part of a prompt.
-    pub fn blocked_part(&self, head: &RequestHead) -> Option<u64> {
+    /// The first of these that is blocked.
+    pub fn blocked(&self, suspects: &[Suspect]) -> Option<Suspect> {
         let inner = self.inner.lock().expect("part watch lock");
-        let blocked = inner.blocked.as_ref().filter(|blocked| !blocked.parts.is_empty())?;
-        head.shared_parts().find(|part| blocked.parts.contains_key(part))
+        let blocked = inner.blocked.as_ref().filter(|blocked| !blocked.is_empty())?;
+        suspects.iter().copied().find(|suspect| blocked.contains(*suspect))
+    }
+
+    /// Waits until one of these is blocked.
+    pub async fn until_blocked(&self, suspects: &[Suspect]) -> Suspect {
+        let mut changed = self.changed.subscribe();
+        loop {
+            if let Some(suspect) = self.blocked(suspects) {
+                return suspect;
+            }
+            // The sender lives as long as this value.
+            let _ = changed.changed().await;
+        }
     }
 
-    /// Whether servers have ended under several calls with a part of this prompt, and none has
-    /// answered one since. Another try would cost another server.
-    pub fn is_suspect(&self, head: &RequestHead) -> bool {
+    /// Whether servers have ended under several calls with one of these, and none has answered one
+    /// since. Another try would cost another server.
+    pub fn is_watched(&self, suspects: &[Suspect]) -> bool {
         let inner = self.inner.lock().expect("part watch lock");
-        !inner.watched.is_empty() && head.shared_parts().any(|part| inner.watched.contains(&part))
+        suspects.iter().any(|suspect| inner.watched.contains(suspect))
     }
 
     /// Takes what is to be reported.
@@ -154,38 +206,49 @@
         let mut inner = self.inner.lock().expect("part watch lock");
         let inner = &mut *inner;
         let mut sound = Vec::new();
-        inner.reported.retain(|part, _| inner.watched.contains(part));
-        for part in &inner.watched {
-            let Some(at) = inner.sound.get(part) else { continue };
-            if inner.reported.insert(*part, *at) != Some(*at) {
-                sound.push((*part, now.duration_since(*at)));
+        inner.reported.retain(|suspect, _| inner.watched.contains(suspect));
+        for suspect in &inner.watched {
+            let Some(at) = inner.sound.get(suspect) else { continue };
+            if inner.reported.insert(*suspect, *at) != Some(*at) {
+                sound.push((*suspect, now.duration_since(*at)));
             }
         }
+        let uncounted = inner.ended.iter().filter(|ended| ended.number > inner.counted);
+        let ended = uncounted.map(|NumberedEnd { number, at, end }| {
+            (*number, RunEnd { ago: now.duration_since(*at), ..end.clone() })
+        });
         PartNews {
             version: inner.blocked.as_ref().map(|blocked| blocked.version),
             watched: inner.watched.clone(),
-            ended: std::mem::take(&mut inner.ended),
+            ended: ended.collect(),
             sound,
             sound_runs: inner.sound_runs,
         }
     }
 
-    /// Keeps what was taken for the next report, as the leader has not counted it.
-    pub fn put_back(&self, mut ended: Vec<RunEnd>) {
+    /// The leader has counted the ends up to this number.
+    pub fn confirm(&self, number: u64) {
         let mut inner = self.inner.lock().expect("part watch lock");
-        ended.append(&mut inner.ended);
-        ended.truncate(MAX_UNREPORTED);
-        inner.ended = ended;
+        inner.counted = inner.counted.max(number);
+    }
+
+    /// Another leader may know nothing of what was reported.
+    pub fn report_anew(&self) {
+        let mut inner = self.inner.lock().expect("part watch lock");
+        inner.counted = 0;
         inner.reported.clear();
     }
 
-    /// Takes in the leader's answer. Returns the number of blocked parts if it has changed.
-    pub fn update(&self, blocked: Option<BlockedParts>, watched: Vec<u64>) -> Option<usize> {
+    /// Takes in the leader's answer. Returns the number of blocked parts and requests if it has
+    /// changed.
+    pub fn update(&self, blocked: Option<BlockedParts>, watched: Vec<Suspect>) -> Option<usize> {
         let mut inner = self.inner.lock().expect("part watch lock");
         inner.watched = watched;
         let blocked = blocked?;
-        let count = blocked.parts.len();
-        let before = inner.blocked.replace(blocked).map_or(0, |before| before.parts.len());
+        let count = blocked.len();
+        let before = inner.blocked.replace(blocked).map_or(0, |before| before.len());
+        drop(inner);
+        self.changed.send_modify(|changes| *changes += 1);
         (count != before).then_some(count)
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,7 +4,7 @@
 use super::server_table::ServerTable;
 use super::sessions::Sessions;
 use super::tallies::Tallies;
-use super::{HeaderFormat, RouteIndex};
+use super::{HeaderFormat, RequestHasher, RouteIndex};
 use crate::backend::{ByteBudget, ConnectionPool};
 use crate::control::Config;
 use crate::event::Journal;
@@ -46,8 +46,10 @@
     pub sessions: Sessions,
     /// Call results by version, reported to the voters.
     pub tallies: Arc<Tallies>,
-    /// Parts of prompts that end servers.
+    /// Parts of prompts and requests that end servers.
     pub parts: Arc<PartWatch>,
+    /// Gives each request its id.
+    pub hasher: RequestHasher,
     /// Limits the bytes of responses that are held at the same time.
     pub buffers: Arc<ByteBudget>,
     /// How soon servers count as silent.
@@ -77,6 +79,7 @@
             sessions: Sessions::new(settings.fleet_limits.session_timeout * 2),
             tallies: Arc::default(),
             parts: Arc::default(),
+            hasher: RequestHasher::new(&settings.cluster_secret),
             buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
             silence: Mutex::default(),
             closed: AtomicBool::new(false),
--- a/src/group/replicated_state.rs
+++ b/src/group/replicated_state.rs
@@ -35,11 +35,14 @@
         Ok(outcome?.into())
     }
 
-    /// Serialises the whole state. The blocked parts follow the control state: builds that do not know
-    /// them leave them unread.
+    /// Serialises the whole state. The blocked parts follow the control state, and the blocked requests
+    /// these: builds that do not know them leave them unread.
     pub fn snapshot(&self) -> Bytes {
         let bytes = match self {
-            ReplicatedState::Control(state) => postcard::to_stdvec(&(state, state.blocked_parts())),
+            ReplicatedState::Control(state) => {
+                let blocked = state.blocked_parts();
+                postcard::to_stdvec(&(state, blocked, &blocked.requests))
+            }
             ReplicatedState::Ledger(state) => postcard::to_stdvec(state),
         };
         bytes.expect("replicated state must be serialisable").into()
@@ -55,7 +58,11 @@
                 let (restored, rest): (ControlState, _) = postcard::take_from_bytes(data)?;
                 *state = restored;
                 if !rest.is_empty() {
-                    state.blocked_parts = postcard::from_bytes(rest)?;
+                    let (blocked, rest) = postcard::take_from_bytes(rest)?;
+                    state.blocked_parts = blocked;
+                    if !rest.is_empty() {
+                        state.blocked_parts.requests = postcard::from_bytes(rest)?;
+                    }
                 }
             }
             ReplicatedState::Ledger(state) => *state = postcard::from_bytes(data)?,
--- a/src/operator/http_server.rs
+++ b/src/operator/http_server.rs
@@ -1,6 +1,6 @@
 use super::{ExplainTarget, collect_timeline, explain};
 use crate::caller::json_response;
-use crate::control::{BlockedPart, Ticket};
+use crate::control::{BlockedPart, BlockedParts, Suspect, Ticket};
 use crate::daemon::Node;
 use crate::error::Error;
 use crate::event::EventQuery;
@@ -168,6 +168,17 @@
     }
 }
 
+fn blocked_response(blocked: &BlockedParts) -> Result<WebResponse, ApiError> {
+    let entry = |(suspect, blocked): (Suspect, &BlockedPart)| {
+        let kind = match suspect {
+            Suspect::Part(_) => "part",
+            Suspect::Request(_) => "request",
+        };
+        serde_json::json!({ kind: format!("{:x}", suspect.id()), "evidence": blocked.evidence })
+    };
+    serialize_response(&blocked.all().map(entry).collect::<Vec<_>>())
+}
+
 /// Forwards a request to the leader and writes its response as an HTTP response.
 async fn leader_response(node: &Node, request: OperatorRequest) -> Result<WebResponse, ApiError> {
     let text = "no leader answers; check that most voters are running and reach one another";
@@ -204,9 +215,9 @@
         OperatorResponse::UnknownPool => {
             Err(ApiError(404, "unknown pool; check its name".to_owned()))
         }
-        OperatorResponse::BlockedParts(blocked) => {
-            let entry = |(part, blocked): (&u64, &BlockedPart)| serde_json::json!({ "part": format!("{part:x}"), "evidence": blocked.evidence });
-            serialize_response(&blocked.parts.iter().map(entry).collect::<Vec<_>>())
+        OperatorResponse::BlockedParts(blocked) => blocked_response(&blocked),
+        OperatorResponse::Blocked(blocked, requests) => {
+            blocked_response(&BlockedParts { requests, ..blocked })
         }
         OperatorResponse::UnknownPart => {
             Err(ApiError(404, "this part is not blocked; check its id".to_owned()))
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,6 +1,6 @@
 use crate::control::{
-    AnswerStatsEntry, BlockedParts, Config, Evidence, PoolRollout, RouteTable, RouterId, Ticket,
-    TicketAnswer, TicketRecord,
+    AnswerStatsEntry, BlockedPart, BlockedParts, Config, Evidence, PoolRollout, RouteTable,
+    RouterId, Ticket, TicketAnswer, TicketRecord,
 };
 use crate::event::Timestamp;
 use crate::group::{GroupId, SubmitError};
@@ -10,6 +10,7 @@
 use crate::vms::VmSnapshot;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -133,7 +134,7 @@
     PoolRollout(PoolName),
     /// Returns the parts of prompts that are blocked.
     BlockedParts,
-    /// Lets calls with a part through again.
+    /// Lets calls with a part through again, or a request, by its id.
     ClearPart(u64),
 }
 
@@ -185,6 +186,8 @@
     BlockedParts(BlockedParts),
     /// The part is not blocked.
     UnknownPart,
+    /// The parts of prompts and the requests that are blocked.
+    Blocked(BlockedParts, BTreeMap<u64, BlockedPart>),
 }
 
 /// What the leader knows of the quality of versions.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -14,6 +14,7 @@
 mod protocol_version;
 mod renewal;
 mod service;
+mod suspect_report;
 
 pub use cluster::{Cluster, Unavailable};
 pub use handshake::{ConnectedPeer, HandshakeError, accept, connect};
@@ -25,9 +26,10 @@
     OperatorRequest, OperatorResponse, PoolReport, PoolUpdate, StoppedVersion, SubmitResponse,
 };
 pub use outbox::dispatch_outbox;
-pub use part_report::{PartReport, PartResponse};
+pub use part_report::{PartEnd, PartReport, PartResponse};
 pub use peer_links::PeerLinks;
 pub use postcard_codec::PostcardCodec;
 pub use protocol_version::ProtocolVersion;
 pub use renewal::{RenewRequest, RenewResponse};
 pub use service::{Peer, PeerClient};
+pub use suspect_report::{SuspectReport, SuspectResponse};
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -14,6 +14,8 @@
     pub const DEADLY_PARTS: Self = Self(2);
     /// Since this version, daemons share the limits that servers name.
     pub const SERVER_LIMITS: Self = Self(3);
+    /// Since this version, daemons exchange what they know of whole requests that end servers, too.
+    pub const DEADLY_REQUESTS: Self = Self(4);
     /// The version of this build.
-    pub const CURRENT: Self = Self::SERVER_LIMITS;
+    pub const CURRENT: Self = Self::DEADLY_REQUESTS;
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -5,7 +5,7 @@
 use super::{
     EventResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
     OperatorRequest, OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest,
-    RenewResponse, SubmitResponse,
+    RenewResponse, SubmitResponse, SuspectReport, SuspectResponse,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -37,4 +37,6 @@
     /// Counts what a router has heard of the limits of servers, if this daemon leads the control
     /// group, and returns what all know and tokens for these servers. Needs protocol version 3.
     async fn share_limits(report: LimitReport) -> LimitResponse;
+    /// As `share_parts`, of parts of prompts and of whole requests. Needs protocol version 4.
+    async fn share_suspects(report: SuspectReport) -> SuspectResponse;
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -51,7 +51,7 @@
 pub use model_ref::ModelRef;
 pub use own_share::OwnShare;
 pub use paced_bucket::PacedBucket;
-pub use part_suspicion::{DeadlyPart, PartSuspicion, RunEnd};
+pub use part_suspicion::{Convict, PartSuspicion, RunEnd};
 pub use pick_server::{BalancePolicy, ServerCandidate, pick_server};
 pub use pool_retry_budget::PoolRetryBudget;
 pub use pool_rollout::{is_canary, next_pool_rollout, rollback_reason, rollout_evidence};
--- a/src/policy/part_suspicion.rs
+++ b/src/policy/part_suspicion.rs
@@ -1,10 +1,12 @@
 //! Pattern: a query of death. One part of a prompt ends every server that begins to answer a call
-//! with it, whatever else the call holds. Finds that part from the ends of servers, among parts that
-//! were only running beside it, and among ordinary crashes and losses of whole data centres.
+//! with it, whatever else the call holds; or one whole request does, as often as it comes. Finds it
+//! from the ends of servers, among what was only running beside it, and among ordinary crashes and
+//! losses of whole data centres.
 
+use crate::control::Suspect;
 use crate::name::VmName;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Ends of one server within this time are one incident.
@@ -37,41 +39,53 @@
 const END_SHARE_RANGE: (f64, f64) = (0.02, 0.8);
 /// A case without a new incident for this long is closed.
 const CASE_TTL: Duration = Duration::from_secs(600);
+/// How long a trial of what was convicted lasts.
+const TRIAL_TIME: Duration = Duration::from_secs(600);
 /// Open cases; the one whose last incident is the oldest is dropped first.
 const MAX_CASES: usize = 1_024;
 /// Incidents that are kept of a case.
 const MAX_INCIDENTS: usize = 16;
+/// Different requests with a part under which servers have ended, before the part is convicted: with
+/// fewer, the request may be to blame.
+const MIN_REQUESTS: usize = 2;
 
 /// A call whose server ended, or broke its response off, before the answer had gone on for long.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunEnd {
-    /// The parts of the prompt that other calls may share; empty if there are none.
-    pub parts: Vec<u64>,
+    /// The parts of the prompt that other calls may share, and the request; empty if the call cannot
+    /// be to blame.
+    pub suspects: Vec<Suspect>,
     /// The server.
     pub server: VmName,
-    /// Time since the call was sent to the server.
+    /// Time from the sending of the call to the end of the server.
     pub age: Duration,
+    /// Time since the end.
+    pub ago: Duration,
 }
 
-/// A part that is held to end servers, with the evidence.
+/// What is held to end servers, with the evidence.
 #[derive(Debug, Clone, PartialEq)]
-pub struct DeadlyPart {
-    /// The id of the part.
-    pub part: u64,
+pub struct Convict {
+    /// The part or the request.
+    pub suspect: Suspect,
     /// The evidence, as text for operators.
     pub evidence: String,
 }
 
-/// What is held against each part, from the reports of all routers.
+/// What is held against each part and request, from the reports of all routers.
 #[derive(Debug, Default)]
 pub struct PartSuspicion {
-    cases: BTreeMap<u64, Case>,
-    /// Ends of servers that no deadly part explains.
+    cases: BTreeMap<Suspect, Case>,
+    /// Ends of servers that nothing convicted explains.
     ends: VecDeque<ServerEnd>,
     sound_runs: VecDeque<SoundRuns>,
+    /// Requests under which a server ended, but also with a sound run.
+    sound_requests: BTreeSet<Suspect>,
+    /// What was blocked and is let through again as a trial, and until when that lasts.
+    trials: BTreeMap<Suspect, Duration>,
 }
 
-/// Incidents with a part since its last sound run.
+/// Incidents with a part or a request since its last sound run.
 #[derive(Debug, Default)]
 struct Case {
     incidents: Vec<Incident>,
@@ -82,6 +96,8 @@
     watched_at: Option<Duration>,
     /// Whether a run with the part ended soundly shortly before the first incident.
     was_sound: bool,
+    /// Requests under which the servers ended, at most `MIN_REQUESTS`.
+    requests: BTreeSet<Suspect>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -106,18 +122,23 @@
 
 impl Incident {
     fn is_same(&self, server: &VmName, at: Duration) -> bool {
-        let apart = at.abs_diff(self.at);
-        apart < SAME_MOMENT || (self.server == *server && apart < SAME_SERVER)
+        at.abs_diff(self.at) < SAME_MOMENT || self.is_end_of(server, at)
+    }
+
+    fn is_end_of(&self, server: &VmName, at: Duration) -> bool {
+        self.server == *server && at.abs_diff(self.at) < SAME_SERVER
     }
 }
 
 impl Case {
     fn first_at(&self) -> Duration {
-        self.incidents.first().map_or(Duration::MAX, |incident| incident.at)
+        let first = self.incidents.first().map(|incident| incident.at);
+        first.or(self.watched_at).unwrap_or(Duration::MAX)
     }
 
     fn last_at(&self) -> Duration {
-        self.incidents.last().map_or(Duration::ZERO, |incident| incident.at)
+        let last = self.incidents.last().map(|incident| incident.at);
+        last.or(self.watched_at).unwrap_or(Duration::ZERO)
     }
 
     fn add(&mut self, server: &VmName, sent_at: Duration, now: Duration) {
@@ -136,12 +157,12 @@
         }
     }
 
-    /// Whether the part ran at a server that ended.
+    /// Whether the suspect ran at a server that ended.
     fn covers(&self, end: &Incident) -> bool {
         self.incidents.iter().any(|incident| incident.is_same(&end.server, end.at))
     }
 
-    /// Whether the incidents convict the part, if `end_share` of all runs end with their server for
+    /// Whether the incidents convict the suspect, if `end_share` of all runs end with their server for
     /// other reasons.
     fn is_proof(&self, now: Duration, end_share: f64) -> bool {
         let answered = self.watched_at.is_some_and(|at| now >= at + ANSWER_TIME);
@@ -159,26 +180,48 @@
 impl PartSuspicion {
     /// Adds a call whose server ended.
     pub fn record_end(&mut self, now: Duration, end: &RunEnd) {
-        let sent_at = now.saturating_sub(end.age);
-        self.add_server_end(now, &end.server);
-        for part in &end.parts {
-            self.cases.entry(*part).or_default().add(&end.server, sent_at, now);
+        let ended_at = now.saturating_sub(end.ago);
+        let sent_at = ended_at.saturating_sub(end.age);
+        self.add_server_end(ended_at, &end.server);
+        let request = end.suspects.iter().find(|suspect| matches!(suspect, Suspect::Request(_)));
+        for suspect in &end.suspects {
+            let case = self.cases.entry(*suspect).or_default();
+            case.add(&end.server, sent_at, ended_at);
+            case.requests.extend(request.filter(|_| case.requests.len() < MIN_REQUESTS));
         }
         self.cases.retain(|_, case| now < case.last_at() + CASE_TTL);
         while self.cases.len() > MAX_CASES {
-            let oldest = self.cases.iter().min_by_key(|(_, case)| case.last_at());
-            let oldest = oldest.map(|(part, _)| *part);
-            oldest.and_then(|part| self.cases.remove(&part));
+            // What was met once only goes first: many calls end with a data centre.
+            let rank = |case: &Case| (case.incidents.len() > 1, case.last_at());
+            let oldest = self.cases.iter().min_by_key(|(_, case)| rank(case));
+            let oldest = oldest.map(|(suspect, _)| *suspect);
+            oldest.and_then(|suspect| self.cases.remove(&suspect));
         }
     }
 
-    /// Records that a run with the part ended soundly at the time `at`: a deadly part has none, so
+    /// Lets a suspect that was convicted through as a trial: the first end under it convicts it again.
+    pub fn begin_trial(&mut self, now: Duration, suspect: Suspect) {
+        self.trials.retain(|_, until| now < *until);
+        self.trials.insert(suspect, now + TRIAL_TIME);
+    }
+
+    fn is_in_trial(&self, now: Duration, suspect: Suspect) -> bool {
+        self.trials.get(&suspect).is_some_and(|until| now < *until)
+    }
+
+    /// Records that a run with the suspect ended soundly at the time `at`: a deadly one has none, so
     /// everything before is dropped.
-    pub fn record_sound(&mut self, part: u64, at: Duration) {
-        let Some(case) = self.cases.get_mut(&part) else { return };
+    pub fn record_sound(&mut self, suspect: Suspect, at: Duration) {
+        let Some(case) = self.cases.get_mut(&suspect) else { return };
         match at > case.first_at() {
             true => {
-                self.cases.remove(&part);
+                self.cases.remove(&suspect);
+                if self.sound_requests.len() >= MAX_CASES {
+                    self.sound_requests.clear();
+                }
+                if let Suspect::Request(_) = suspect {
+                    self.sound_requests.insert(suspect);
+                }
             }
             false => case.was_sound = true,
         }
@@ -208,42 +251,48 @@
         }
     }
 
-    /// Parts of which sound runs would be news, and with which no call should be tried again.
-    pub fn watched(&self) -> impl Iterator<Item = u64> {
+    /// Suspects of which sound runs would be news, and with which no call should be tried again.
+    pub fn watched(&self) -> impl Iterator<Item = Suspect> {
         let watched = self.cases.iter().filter(|(_, case)| case.watched_at.is_some());
-        watched.map(|(part, _)| *part)
+        watched.map(|(suspect, _)| *suspect)
     }
 
-    /// The part with the most incidents among those that are proved deadly. Its incidents no longer
-    /// count against parts that ran beside it.
+    /// The suspect with the most incidents among those that are proved deadly. Its incidents no longer
+    /// count against what ran beside it.
     ///
     /// ```
     /// use samphireshift::name::VmName;
+    /// use samphireshift::control::Suspect;
     /// use samphireshift::policy::{PartSuspicion, RunEnd};
     /// use std::time::Duration;
     /// let mut suspicion = PartSuspicion::default();
     /// for second in 1..=3 {
     ///     suspicion.record_sound_runs(Duration::from_secs(second), 50);
     ///     let server = VmName::new(format!("server-{second}"));
-    ///     let end = RunEnd { parts: vec![7], server, age: Duration::from_millis(300) };
+    ///     let (suspects, age) = (vec![Suspect::Request(7)], Duration::from_millis(300));
+    ///     let end = RunEnd { suspects, server, age, ago: Duration::ZERO };
     ///     suspicion.record_end(Duration::from_secs(second), &end);
     /// }
-    /// assert_eq!(suspicion.convict(Duration::from_secs(3)).unwrap().part, 7);
+    /// assert_eq!(suspicion.convict(Duration::from_secs(3)).unwrap().suspect, Suspect::Request(7));
     /// ```
-    pub fn convict(&mut self, now: Duration) -> Option<DeadlyPart> {
-        let is_proved = |case: &Case| {
-            self.sound_since(case.first_at()) >= MIN_SOUND_RUNS
-                && case.is_proof(now, self.end_share(case))
-        };
-        // A part that ran beside a deadly one has fewer incidents; it waits until these are explained.
+    pub fn convict(&mut self, now: Duration) -> Option<Convict> {
+        // What ran beside a deadly suspect has fewer incidents; it waits until these are explained.
         let suspects = self.cases.values().filter(|case| !case.was_sound);
         let most = suspects.map(|case| case.incidents.len()).max().unwrap_or(0);
-        let is_first = |case: &Case| case.incidents.len() >= most;
-        let proved = self.cases.iter().filter(|(_, case)| is_first(case) && is_proved(case));
-        let (part, case) = proved.max_by_key(|(_, case)| case.incidents.len())?;
-        let (part, end_share) = (*part, self.end_share(case));
-        let case = self.cases.remove(&part)?;
-        self.explain(&case.incidents);
+        let is_proved = |suspect: &Suspect, case: &Case| {
+            case.incidents.len() >= most
+                && self.sound_since(case.first_at()) >= MIN_SOUND_RUNS
+                && !self.may_be_request(*suspect, case)
+                && case.is_proof(now, self.end_share(case))
+        };
+        let is_due = |suspect: &Suspect, case: &Case| {
+            self.is_in_trial(now, *suspect) || is_proved(suspect, case)
+        };
+        let proved = self.cases.iter().filter(|(suspect, case)| is_due(suspect, case));
+        let (suspect, case) = proved.max_by_key(|(_, case)| case.incidents.len())?;
+        let (suspect, end_share) = (*suspect, self.end_share(case));
+        let case = self.cases.remove(&suspect)?;
+        self.explain(suspect, &case.incidents);
         let servers: Vec<&str> = case.incidents.iter().map(|i| i.server.as_str()).collect();
         let evidence = format!(
             "{} servers ended under calls with it and none answered one; without it, {:.1} in 100 \
@@ -252,21 +301,25 @@
             end_share * 100.0,
             servers.join(", ")
         );
-        Some(DeadlyPart { part, evidence })
+        Some(Convict { suspect, evidence })
     }
 
-    /// Takes incidents that have an explanation out of all cases.
-    fn explain(&mut self, incidents: &[Incident]) {
+    /// Takes incidents that have an explanation out of all cases, but for the parts of a request: one
+    /// of them may explain it. What was watched stays so until a sound run clears it.
+    fn explain(&mut self, convict: Suspect, incidents: &[Incident]) {
         let is_explained =
-            |other: &Incident| incidents.iter().any(|i| i.is_same(&other.server, other.at));
+            |other: &Incident| incidents.iter().any(|i| i.is_end_of(&other.server, other.at));
         self.ends.retain(|end| !is_explained(&end.incident));
-        for case in self.cases.values_mut() {
+        for case in self.cases.values_mut().filter(|case| !case.requests.contains(&convict)) {
             case.incidents.retain(|incident| !is_explained(incident));
-            if case.incidents.len() < WATCHED_INCIDENTS {
-                case.watched_at = None;
-            }
         }
-        self.cases.retain(|_, case| !case.incidents.is_empty());
+        self.cases.retain(|_, case| !case.incidents.is_empty() || case.watched_at.is_some());
+    }
+
+    /// Whether the incidents of a part may be the doing of a single request, which has no sound run.
+    fn may_be_request(&self, suspect: Suspect, case: &Case) -> bool {
+        let request = case.requests.first().filter(|_| case.requests.len() == 1);
+        request.is_some_and(|request| *request != suspect && !self.sound_requests.contains(request))
     }
 
     /// The number of sound runs reported since then.
