Put what routers heard of limits before a leader started in order

What would be seen: after a change of the leader, a limit that had ended is kept, or an old one replaces a newer (not seen in a play). Cause: the leader takes the age of the news from the time since its own process started; what is older than that is all equally old. Change: the time is shifted by an hour. Result: a_leader_that_has_just_started_puts_older_news_in_order fails before and passes now; the 17 other tests of the file pass.

--- a/src/policy/shared_limits.rs
+++ b/src/policy/shared_limits.rs
@@ -24,6 +24,8 @@
 const ENDED_TTL: Duration = Duration::from_secs(60);
 /// A limit is told to all routers anew if it has changed by more than this fraction.
 const TOLD_CHANGE: f64 = 0.25;
+/// How old news may be. The time since the start of the leader's process would be too short for them.
+const MAX_AGE: Duration = Duration::from_secs(3_600);
 /// Servers whose limits are kept.
 const MAX_SERVERS: usize = 4_096;
 /// Asks of a router that are kept.
@@ -49,7 +51,7 @@
     state: LimitState,
     /// The limit that routers were told last.
     told: f64,
-    /// When the newest news of it was true.
+    /// When the newest news of it was true, later by `MAX_AGE`.
     heard_at: Duration,
     bucket: PacedBucket,
 }
@@ -103,7 +105,7 @@
     }
 
     fn hear(&mut self, now: Duration, heard: &HeardLimit) {
-        let at = now.saturating_sub(heard.age);
+        let at = (now + MAX_AGE).saturating_sub(heard.age);
         let has_room = self.servers.len() < MAX_SERVERS;
         let known = self.servers.get_mut(&heard.server);
         match (known, heard.limit) {
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -8,7 +8,8 @@
 use samphireshift::control::RouterId;
 use samphireshift::name::VmName;
 use samphireshift::policy::{
-    Admission, LimitAsk, LimitDemand, LimitNews, LimitPosition, LocalLimits, SharedLimits,
+    Admission, HeardLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, LocalLimits,
+    SharedLimits,
 };
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -424,3 +425,21 @@
     let equal = Play::new(Day { busy: 1, ..FEW }, Policy::EqualParts, 1).run();
     assert!(equal.used() < 0.5, "{:.3}", equal.used());
 }
+
+/// Guards against a new leader whose process has just started, and for which all that routers heard
+/// before is equally old: the end of a limit would be lost behind its naming.
+#[test]
+fn a_leader_that_has_just_started_puts_older_news_in_order() {
+    let router = |index| RouterId { vm: VmName::new(format!("router-{index}")), run: 1 };
+    let heard = |limit, seconds| LimitDemand {
+        heard: vec![HeardLimit { server: server(0), limit, age: Duration::from_secs(seconds) }],
+        asks: Vec::new(),
+        fleet: 2,
+    };
+    let mut leader = SharedLimits::new(2);
+    let just_started = Duration::from_secs(1);
+    leader.record(just_started, &router(0), &heard(Some(2.0), 30));
+    leader.record(just_started, &router(1), &heard(None, 20));
+    leader.expire(just_started + Duration::from_secs(60), |_| true);
+    assert_eq!(leader.count(), 0, "the limit has ended");
+}
