Send routers the ids of what is blocked, without the evidence

Cause: each change of what is blocked went to every router with the evidence of all entries, up to 1,000 texts that no router reads. Change: the answer to a report holds version and ids; routers of earlier builds get entries with an empty text. Bytes were not measured: an entry is at most 11 bytes by its encoding, where a text took some 150.

--- a/src/daemon/deadly_parts.rs
+++ b/src/daemon/deadly_parts.rs
@@ -5,7 +5,7 @@
 use super::wait::wait_for_news;
 use crate::control::{BlockedParts, ControlCommand, RouterId, Suspect};
 use crate::group::since_start;
-use crate::peer::{ProtocolVersion, SuspectReport, SuspectResponse};
+use crate::peer::{BlockedSuspects, ProtocolVersion, SuspectReport, SuspectResponse};
 use crate::policy::{Convict, PartSuspicion};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -127,8 +127,7 @@
         }
         let blocked = self.read_control(|state| {
             let blocked = state.blocked_parts();
-            (report.version != Some(blocked.version))
-                .then(|| (blocked.clone(), blocked.requests.clone()))
+            (report.version != Some(blocked.version)).then(|| BlockedSuspects::from(blocked))
         });
         SuspectResponse::Known { blocked, watched: self.parts.watched.borrow().clone() }
     }
--- a/src/gateway/part_loop.rs
+++ b/src/gateway/part_loop.rs
@@ -3,7 +3,7 @@
 use super::Gateway;
 use super::leader_loop::{LeaderConnection, await_leader, pause};
 use super::part_watch::PartNews;
-use crate::control::{BlockedParts, RouterId};
+use crate::control::RouterId;
 use crate::peer::{Dialed, ProtocolVersion, SuspectReport, SuspectResponse};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -39,7 +39,6 @@
     match response {
         Ok(SuspectResponse::Known { blocked, watched }) => {
             gateway.parts.confirm(last);
-            let blocked = blocked.map(|(parts, requests)| BlockedParts { requests, ..parts });
             if let Some(count) = gateway.parts.update(blocked, watched) {
                 metrics::gauge!("samphireshift_blocked_parts").set(count as f64);
                 log::info!("{count} parts of prompts and requests are blocked");
--- a/src/gateway/part_watch.rs
+++ b/src/gateway/part_watch.rs
@@ -1,7 +1,8 @@
 //! What this router knows of parts of prompts, and of requests, that end servers.
 
-use crate::control::{BlockedParts, Suspect};
+use crate::control::Suspect;
 use crate::name::VmName;
+use crate::peer::BlockedSuspects;
 use crate::policy::RunEnd;
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -34,7 +35,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     /// `None` until the leader has sent them.
-    blocked: Option<BlockedParts>,
+    blocked: Option<BlockedSuspects>,
     watched: Vec<Suspect>,
     /// When the last sound run with a suspect ended.
     sound: HashMap<Suspect, Instant>,
@@ -177,7 +178,7 @@
     /// The first of these that is blocked.
     pub fn blocked(&self, suspects: &[Suspect]) -> Option<Suspect> {
         let inner = self.inner.lock().expect("part watch lock");
-        let blocked = inner.blocked.as_ref().filter(|blocked| !blocked.is_empty())?;
+        let blocked = inner.blocked.as_ref().filter(|blocked| !blocked.suspects.is_empty())?;
         suspects.iter().copied().find(|suspect| blocked.contains(*suspect))
     }
 
@@ -241,12 +242,12 @@
 
     /// Takes in the leader's answer. Returns the number of blocked parts and requests if it has
     /// changed.
-    pub fn update(&self, blocked: Option<BlockedParts>, watched: Vec<Suspect>) -> Option<usize> {
+    pub fn update(&self, blocked: Option<BlockedSuspects>, watched: Vec<Suspect>) -> Option<usize> {
         let mut inner = self.inner.lock().expect("part watch lock");
         inner.watched = watched;
         let blocked = blocked?;
-        let count = blocked.len();
-        let before = inner.blocked.replace(blocked).map_or(0, |before| before.len());
+        let count = blocked.suspects.len();
+        let before = inner.blocked.replace(blocked).map_or(0, |before| before.suspects.len());
         drop(inner);
         self.changed.send_modify(|changes| *changes += 1);
         (count != before).then_some(count)
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -32,4 +32,4 @@
 pub use protocol_version::ProtocolVersion;
 pub use renewal::{RenewRequest, RenewResponse};
 pub use service::{Peer, PeerClient};
-pub use suspect_report::{SuspectReport, SuspectResponse};
+pub use suspect_report::{BlockedSuspects, SuspectReport, SuspectResponse};
--- a/src/peer/part_report.rs
+++ b/src/peer/part_report.rs
@@ -1,8 +1,8 @@
 //! What daemons of builds before [`ProtocolVersion::DEADLY_REQUESTS`](super::ProtocolVersion) tell each
 //! other of parts of prompts that end servers. They know nothing of whole requests.
 
-use super::{SuspectReport, SuspectResponse};
-use crate::control::{BlockedParts, RouterId, Suspect};
+use super::{BlockedSuspects, SuspectReport, SuspectResponse};
+use crate::control::{BlockedPart, BlockedParts, RouterId, Suspect};
 use crate::name::VmName;
 use crate::policy::RunEnd;
 use serde::{Deserialize, Serialize};
@@ -67,6 +67,13 @@
     suspects.iter().filter_map(part).collect()
 }
 
+/// Routers of earlier builds look at the ids only.
+fn blocked_parts(blocked: &BlockedSuspects) -> BlockedParts {
+    let entry = |id| (id, BlockedPart { since: blocked.version, evidence: String::new() });
+    let entries = parts(&blocked.suspects).into_iter().map(entry).collect();
+    BlockedParts { version: blocked.version, parts: entries, ..BlockedParts::default() }
+}
+
 impl From<PartReport> for SuspectReport {
     fn from(report: PartReport) -> Self {
         let suspects = |parts: Vec<u64>| parts.into_iter().map(Suspect::Part).collect();
@@ -113,7 +120,7 @@
     fn from(response: PartResponse) -> Self {
         match response {
             PartResponse::Known { blocked, watched } => Self::Known {
-                blocked: blocked.map(|parts| (parts, Default::default())),
+                blocked: blocked.as_ref().map(BlockedSuspects::from),
                 watched: watched.into_iter().map(Suspect::Part).collect(),
             },
             PartResponse::NotLeader { address } => Self::NotLeader { address },
@@ -124,9 +131,10 @@
 impl From<SuspectResponse> for PartResponse {
     fn from(response: SuspectResponse) -> Self {
         match response {
-            SuspectResponse::Known { blocked, watched } => {
-                Self::Known { blocked: blocked.map(|(parts, _)| parts), watched: parts(&watched) }
-            }
+            SuspectResponse::Known { blocked, watched } => Self::Known {
+                blocked: blocked.as_ref().map(blocked_parts),
+                watched: parts(&watched),
+            },
             SuspectResponse::NotLeader { address } => Self::NotLeader { address },
         }
     }
--- a/src/peer/suspect_report.rs
+++ b/src/peer/suspect_report.rs
@@ -1,7 +1,6 @@
-use crate::control::{BlockedPart, BlockedParts, RouterId, Suspect};
+use crate::control::{BlockedParts, RouterId, Suspect};
 use crate::policy::RunEnd;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,13 +25,37 @@
     pub wait: bool,
 }
 
+/// What is blocked, as routers need it: without the evidence.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct BlockedSuspects {
+    /// Increases by one with every change.
+    pub version: u64,
+    /// The blocked parts and requests, in order.
+    pub suspects: Vec<Suspect>,
+}
+
+impl BlockedSuspects {
+    /// Whether calls with this are blocked.
+    pub fn contains(&self, suspect: Suspect) -> bool {
+        self.suspects.binary_search(&suspect).is_ok()
+    }
+}
+
+impl From<&BlockedParts> for BlockedSuspects {
+    fn from(blocked: &BlockedParts) -> Self {
+        let mut suspects: Vec<Suspect> = blocked.all().map(|(suspect, _)| suspect).collect();
+        suspects.sort_unstable();
+        Self { version: blocked.version, suspects }
+    }
+}
+
 /// The response to a [`SuspectReport`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum SuspectResponse {
     /// The report was counted.
     Known {
         /// The blocked parts and requests, if the router has another version.
-        blocked: Option<(BlockedParts, BTreeMap<u64, BlockedPart>)>,
+        blocked: Option<BlockedSuspects>,
         /// Suspects of which sound runs would be news, and with which no call should be tried again.
         watched: Vec<Suspect>,
     },
