Give no token for a call that cannot wait for it any more

Cause: an ask stood until the router's next report, up to 0.3 s; by then its calls had given up, and the token expired unused. Change: an ask says how long its calls can wait. The leader also logs when a server becomes limited, changes or ceases to be.

--- a/src/daemon/server_limits.rs
+++ b/src/daemon/server_limits.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Default)]
 struct TermLimits {
     limits: SharedLimits,
+    /// The limits as they were logged last.
+    logged: BTreeMap<VmName, f64>,
     /// Wakes the response that waits for a router's tokens.
     waiting: BTreeMap<RouterId, Arc<Notify>>,
 }
@@ -71,6 +73,20 @@
 }
 
 impl TermLimits {
+    fn log_changes(&mut self) {
+        let named: BTreeMap<VmName, f64> =
+            self.limits.named().map(|(server, limit)| (server.clone(), limit)).collect();
+        for (server, limit) in
+            named.iter().filter(|(server, limit)| self.logged.get(*server) != Some(*limit))
+        {
+            log::info!("server {server} takes {limit} requests a second from all routers together");
+        }
+        for server in self.logged.keys().filter(|server| !named.contains_key(*server)) {
+            log::info!("server {server} is no longer limited");
+        }
+        self.logged = named;
+    }
+
     fn distribute(&mut self, now: Duration) {
         for router in self.limits.distribute(now) {
             if let Some(waiting) = self.waiting.get(&router) {
@@ -159,6 +175,7 @@
     let is_listed = |server: &VmName| listed.as_ref().is_none_or(|listed| listed.contains(server));
     let count = node.limits.update(term, |inner| {
         inner.limits.expire(since_start(), is_listed);
+        inner.log_changes();
         let TermLimits { limits, waiting, .. } = inner;
         waiting.retain(|router, _| limits.is_known(router));
         limits.count()
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -269,8 +269,9 @@
 
     /// What is to be reported to the leader now.
     pub fn report(&self) -> LimitDemand {
+        let now = since_start();
         let inner = self.lock();
-        inner.local.report(since_start(), inner.queue.asks())
+        inner.local.report(now, inner.queue.asks(now))
     }
 
     /// Takes in the leader's answer to the report that was sent at `asked_at`.
--- a/src/gateway/token_queue.rs
+++ b/src/gateway/token_queue.rs
@@ -93,11 +93,18 @@
     }
 
     /// The tokens that the waiting calls need.
-    pub fn asks(&self) -> Vec<LimitAsk> {
+    pub fn asks(&self, now: Duration) -> Vec<LimitAsk> {
         let mut asks: BTreeMap<&[VmName], LimitAsk> = BTreeMap::new();
         for (place, waiter) in &self.waiters {
-            let new = || LimitAsk { servers: waiter.servers.clone(), count: 0, rank: place.rank };
-            asks.entry(&waiter.servers).or_insert_with(new).count += 1;
+            let new = || LimitAsk {
+                servers: waiter.servers.clone(),
+                count: 0,
+                rank: place.rank,
+                lasts: Duration::ZERO,
+            };
+            let ask = asks.entry(&waiter.servers).or_insert_with(new);
+            ask.count += 1;
+            ask.lasts = ask.lasts.max(waiter.until.saturating_sub(now));
         }
         asks.into_values().collect()
     }
--- a/src/policy/limit_report.rs
+++ b/src/policy/limit_report.rs
@@ -22,6 +22,8 @@
     pub count: u32,
     /// The rank of the most urgent call that waits, 0 first.
     pub rank: u8,
+    /// How long a token could still be used.
+    pub lasts: Duration,
 }
 
 /// Tokens of one server.
--- a/src/policy/local_limits.rs
+++ b/src/policy/local_limits.rs
@@ -265,6 +265,7 @@
             servers: vec![name.clone()],
             count: known.wanted,
             rank: u8::MAX,
+            lasts: (known.wanted_at + WANT_TTL).saturating_sub(now),
         }));
         LimitDemand { heard, asks, fleet: self.fleet() }
     }
--- a/src/policy/shared_limits.rs
+++ b/src/policy/shared_limits.rs
@@ -18,6 +18,8 @@
 const ROUTER_TTL: Duration = Duration::from_secs(60);
 /// How long a token that was handed out waits to be taken along.
 const GRANT_TTL: Duration = Duration::from_millis(200);
+/// How long it takes at least until a token that is handed out can be used.
+const HAND_OUT_TIME: Duration = Duration::from_millis(10);
 /// How long a limit that has ended still holds, while its rate rises.
 const RISE_TIME: Duration = Duration::from_secs(8);
 /// How long routers are told that a limit has ended.
@@ -78,6 +80,8 @@
     router: RouterId,
     ask: LimitAsk,
     turn: u64,
+    /// Until when a token that is handed out can still be used.
+    until: Duration,
 }
 
 impl SharedLimits {
@@ -100,7 +104,7 @@
         for heard in &demand.heard {
             self.hear(now, heard);
         }
-        self.replace_asks(router, &demand.asks);
+        self.replace_asks(now, router, &demand.asks);
         self.version != before
     }
 
@@ -139,7 +143,7 @@
         }
     }
 
-    fn replace_asks(&mut self, router: &RouterId, asks: &[LimitAsk]) {
+    fn replace_asks(&mut self, now: Duration, router: &RouterId, asks: &[LimitAsk]) {
         let mut turns = BTreeMap::new();
         self.asks.retain(|open| {
             if open.router == *router {
@@ -154,7 +158,8 @@
                 self.turn
             });
             let ask = LimitAsk { count: ask.count.min(MAX_COUNT), ..ask.clone() };
-            self.asks.push(OpenAsk { router: router.clone(), ask, turn });
+            let until = now + ask.lasts;
+            self.asks.push(OpenAsk { router: router.clone(), ask, turn, until });
         }
     }
 
@@ -167,7 +172,9 @@
     pub fn distribute(&mut self, now: Duration) -> BTreeSet<RouterId> {
         let fraction = self.reporting_fraction(now);
         self.asks.retain(|open| {
-            self.routers.get(&open.router).is_some_and(|state| now < state.seen + SILENT_AFTER)
+            let state = self.routers.get(&open.router);
+            let is_heard = state.is_some_and(|state| now < state.seen + SILENT_AFTER);
+            is_heard && now + HAND_OUT_TIME < open.until
         });
         for server in self.servers.values_mut() {
             server.bucket.advance(now, fraction);
@@ -317,6 +324,13 @@
         news
     }
 
+    /// The servers with a limit, and what they named last, in requests a second.
+    pub fn named(&self) -> impl Iterator<Item = (&VmName, f64)> {
+        let limited =
+            self.servers.iter().filter(|(_, server)| !matches!(server.state, LimitState::Ended(_)));
+        limited.map(|(name, server)| (name, server.told))
+    }
+
     /// The number of servers with a limit.
     pub fn count(&self) -> usize {
         let limited =
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -26,6 +26,9 @@
 /// with and without asks.
 const REPORT_MS: u64 = 20;
 const HOLD_MS: (u64, u64) = (25, 1_000);
+/// Larger fleets are kept waiting for longer, as `daemon/server_limits.rs` does.
+const ROUTERS_PER_HOLD: u64 = 16;
+const MAX_ASK_HOLD_MS: u64 = 300;
 /// After how long a router gives up an exchange.
 const TIMEOUT_MS: u64 = 1_500;
 /// The time from a request to the head of its answer.
@@ -97,6 +100,8 @@
     buckets: Vec<f64>,
     stopped_until: u64,
     cut_until: u64,
+    /// Bytes that were exchanged with the leader.
+    bytes: usize,
 }
 
 struct Play {
@@ -120,6 +125,14 @@
     Duration::from_millis(millis + 1_000)
 }
 
+/// The bytes of a message.
+fn encoded<T>(message: &T) -> usize
+where
+    T: serde::Serialize,
+{
+    postcard::to_stdvec(message).expect("messages serialise").len()
+}
+
 fn server(index: usize) -> VmName {
     VmName::new(format!("server-{index}"))
 }
@@ -281,11 +294,13 @@
         }
         let held_until = *exchange.held_until.get_or_insert_with(|| {
             self.leader.record(at(now), &router.id, &exchange.demand);
-            now + if asks { HOLD_MS.0 } else { HOLD_MS.1 }
+            let factor = (self.day.routers as u64 / ROUTERS_PER_HOLD).max(1);
+            now + if asks { (HOLD_MS.0 * factor).min(MAX_ASK_HOLD_MS) } else { HOLD_MS.1 }
         });
         self.leader.distribute(at(now));
         if now >= held_until || self.leader.has_news(&router.id, exchange.known) {
             let news = self.leader.answer(at(now), &router.id, exchange.known, &exchange.demand);
+            router.bytes += encoded(&news);
             exchange.answer = Some((now + DELAY_MS, news));
         }
     }
@@ -341,6 +356,7 @@
             buckets: vec![0.0; day.servers],
             stopped_until: 0,
             cut_until: 0,
+            bytes: 0,
         }
     }
 
@@ -361,15 +377,15 @@
     fn begin_exchange(&mut self, now: u64, day: Day) {
         let servers = (0..day.servers).map(server).collect();
         let count = self.waiting.len() as u32;
-        let asks = if count > 0 { vec![LimitAsk { servers, count, rank: 5 }] } else { Vec::new() };
+        let newest = self.waiting.back().copied().unwrap_or(0);
+        let lasts = Duration::from_millis((newest + PATIENCE_MS).saturating_sub(now));
+        let ask = LimitAsk { servers, count, rank: 5, lasts };
+        let asks = if count > 0 { vec![ask] } else { Vec::new() };
         self.has_news = false;
-        self.exchange = Some(Exchange {
-            asked_at: now,
-            held_until: None,
-            known: self.local.position(),
-            demand: self.local.report(at(now), asks),
-            answer: None,
-        });
+        let (known, demand) = (self.local.position(), self.local.report(at(now), asks));
+        self.bytes += encoded(&(&self.id, known, &demand));
+        self.exchange =
+            Some(Exchange { asked_at: now, held_until: None, known, demand, answer: None });
     }
 }
 
@@ -443,3 +459,20 @@
     leader.expire(just_started + Duration::from_secs(60), |_| true);
     assert_eq!(leader.count(), 0, "the limit has ended");
 }
+
+/// Guards against limits that take more of a router's link than control may: 3 KB a second.
+#[rstest]
+#[case(3)]
+#[case(30)]
+#[case(100)]
+#[case(191)]
+fn what_routers_and_the_leader_say_of_limits_is_little(#[case] routers: usize) {
+    let calls = 4.0 * routers as f64;
+    let day = Day { routers, busy: routers, servers: 4, limit: calls / 8.0, calls, ..FEW };
+    let play = Play::new(day, Policy::Shared, 1).run();
+    let bytes: usize = play.routers.iter().map(|router| router.bytes).sum();
+    let rate = bytes as f64 / routers as f64 / (LENGTH_MS as f64 / 1e3);
+    println!("{routers} routers: {rate:.0} bytes a second each, {:.3} used", play.used());
+    assert!(rate < 3_000.0, "{rate:.0} bytes a second for each router");
+    assert!(play.excess() <= 0.0, "{} too many", play.excess());
+}
