Let calls that were sent before wait longer for a limited server, and first

A stream that broke off waited half a second for a token behind calls that had not begun, and was given up. Change: a call that was sent before waits for half of the time left, before all others; only calls that have not been sent are refused for the target latency's sake. Result: a_stream_that_breaks_off_goes_on_before_calls_that_have_not_begun: 0 of 9 streams that had begun were whole before, all are now; 1 of 5 with the longer wait alone.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -9,12 +9,15 @@
 
 /// The most servers tried for one call, including those that could not be reached.
 const MAX_SERVERS_TRIED: usize = 8;
-/// The part of the route's target latency, from its arrival, and of its remaining time that a call
-/// may wait for a limited server; the rest is for the answer. A longer queue would only make all
-/// answers late.
+/// The part of the route's target latency, from its arrival, that a call may wait for a limited server;
+/// the rest is for the answer. A longer queue would only make all answers late.
 const LIMIT_WAIT_FRACTION: f64 = 0.5;
-/// The part of the target latency that a call may wait in any case, as for another try.
-const LEAST_WAIT_FRACTION: f64 = 0.25;
+/// The part of its remaining time that a call may wait for a limited server.
+const LIMIT_LEFT_FRACTION: f64 = 0.5;
+/// The rank in the queue of a call that has been sent before, as what was done for it would be lost.
+const RETRY_RANK: u8 = 0;
+/// The rank in the queue of the most urgent call that has not been sent.
+const FIRST_RANK: u8 = 1;
 
 impl Call {
     /// Sends the call to one server after another until one responds. When a stream is resumed,
@@ -98,8 +101,8 @@
                 Selection::Limited(servers) => servers,
                 Selection::Nothing => return Err(self.final_error(history)),
             };
-            let until = self.limit_wait_end();
-            let Some(token) = self.gateway.limits.wait(&servers, self.rank, until).await else {
+            let (until, rank) = self.limit_wait(history);
+            let Some(token) = self.gateway.limits.wait(&servers, rank, until).await else {
                 return Err(self.limited_error(history, &servers));
             };
             let session_version = self.session_version();
@@ -110,13 +113,17 @@
         }
     }
 
-    /// Until when the call may wait for a limited server.
-    fn limit_wait_end(&self) -> Instant {
-        let (now, target) = (Instant::now(), self.route.latency_target);
-        let in_time = self.started + target.mul_f64(LIMIT_WAIT_FRACTION);
-        let least = now + target.mul_f64(LEAST_WAIT_FRACTION);
+    /// Until when the call may wait for a limited server, and its rank among those that wait. A call
+    /// that was sent before cannot be refused as one that has not run.
+    fn limit_wait(&self, history: &AttemptHistory) -> (Instant, u8) {
+        let now = Instant::now();
         let left = self.deadline.saturating_duration_since(now);
-        in_time.max(least).min(now + left.mul_f64(LIMIT_WAIT_FRACTION))
+        let latest = now + left.mul_f64(LIMIT_LEFT_FRACTION);
+        if history.sends > 0 {
+            return (latest, RETRY_RANK);
+        }
+        let in_time = self.started + self.route.latency_target.mul_f64(LIMIT_WAIT_FRACTION);
+        (in_time.min(latest), FIRST_RANK + self.rank)
     }
 
     /// Checks the call against a configuration installed since it was accepted; returns the error
@@ -159,7 +166,7 @@
                 let wait = self.gateway.limits.return_wait(
                     &self.pool,
                     servers,
-                    self.rank,
+                    FIRST_RANK + self.rank,
                     self.deadline.saturating_duration_since(Instant::now()),
                 );
                 GatewayError::ServersLimited { pool, wait }
--- a/src/policy/return_schedule.rs
+++ b/src/policy/return_schedule.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 /// Ranks of calls, 0 the most urgent.
-const RANKS: usize = 10;
+const RANKS: usize = 11;
 /// Over how long callers are spread out at least.
 const MIN_HORIZON: Duration = Duration::from_secs(10);
 /// The longest time until the first turn, and from there over which callers are spread out.
