Answer a command only when what it led to is published

A caller that woke in between was told, by `handle_request`, that this daemon doesn't lead. The tool then asks again, so an operator who had let a part through could read that there was no such part.

--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -34,6 +34,12 @@
     reply: oneshot::Sender<Result<Bytes, SubmitError>>,
 }
 
+/// The outcome of a command, kept until the state that includes it is published.
+struct Reply {
+    to: oneshot::Sender<Result<Bytes, SubmitError>>,
+    outcome: Result<Bytes, SubmitError>,
+}
+
 /// The state of a group's thread, which drives the consensus state machine.
 pub struct Driver {
     id: GroupId,
@@ -45,6 +51,8 @@
     journal: Arc<Journal>,
     /// Proposed commands, by the index of their entry.
     pending: BTreeMap<u64, PendingCommand>,
+    /// Outcomes of applied commands that are not sent yet.
+    replies: Vec<Reply>,
     /// Index of the last applied entry.
     applied: u64,
     snapshot_entries: u64,
@@ -80,6 +88,7 @@
             shared,
             journal: options.journal,
             pending: BTreeMap::new(),
+            replies: Vec::new(),
             applied,
             snapshot_entries: options.snapshot_entries,
             leadership: None,
@@ -106,8 +115,10 @@
             }
             self.raft.tick(since_start());
             self.process_outputs();
-            self.maybe_snapshot();
+            // Published first: who gets a reply may at once ask for what it led to.
             self.publish();
+            self.send_replies();
+            self.maybe_snapshot();
         }
     }
 
@@ -200,12 +211,18 @@
             _ => None,
         };
         let Some(pending) = self.pending.remove(&entry.index) else { return };
-        let reply = match outcome {
+        let outcome = match outcome {
             Some(outcome) if pending.term == entry.term => Ok(outcome),
             _ => Err(SubmitError::LeadershipLost),
         };
-        // The caller may have given up.
-        let _ = pending.reply.send(reply);
+        self.replies.push(Reply { to: pending.reply, outcome });
+    }
+
+    fn send_replies(&mut self) {
+        for reply in self.replies.drain(..) {
+            // The caller may have given up.
+            let _ = reply.to.send(reply.outcome);
+        }
     }
 
     /// Takes a snapshot if one is due. It is written to disk on a separate thread, so that heartbeats
