--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -41,7 +41,7 @@
     Rollouts(RolloutsArgs),
     /// Show what organisations were billed.
     Bills(BillsArgs),
-    /// Show or clear blocked parts of prompts.
+    /// Show or clear blocked parts of prompts and blocked requests.
     Parts(PartsArgs),
     /// Show events of all daemons.
     Timeline(TimelineArgs),
@@ -151,11 +151,11 @@
     pub organisation: Option<String>,
 }
 
-/// Show the parts of prompts that are blocked because they end servers, with the evidence.
+/// Show the parts of prompts and the requests that are blocked because they end servers, with the evidence.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "parts")]
 pub struct PartsArgs {
-    /// let calls with this part (hexadecimal id) through again
+    /// let calls with this part, or this request, through again (hexadecimal id)
     #[argh(option)]
     pub clear: Option<String>,
 }
--- a/src/operator/http_server.rs
+++ b/src/operator/http_server.rs
@@ -219,9 +219,10 @@
         OperatorResponse::Blocked(blocked, requests) => {
             blocked_response(&BlockedParts { requests, ..blocked })
         }
-        OperatorResponse::UnknownPart => {
-            Err(ApiError(404, "this part is not blocked; check its id".to_owned()))
-        }
+        OperatorResponse::UnknownPart => Err(ApiError(
+            404,
+            "no part and no request with this id is blocked; list them without --clear".to_owned(),
+        )),
         OperatorResponse::NotLeader { .. }
         | OperatorResponse::OutcomeUnknown
         | OperatorResponse::TooFewVoters => Err(ApiError(503, text.to_owned())),
