--- a/src/operator/http_server.rs
+++ b/src/operator/http_server.rs
@@ -221,7 +221,7 @@
         }
         OperatorResponse::UnknownPart => Err(ApiError(
             404,
-            "no part and no request with this id is blocked; list them without --clear".to_owned(),
+            "what has this id is not blocked, neither a part nor a request; list them without --clear".to_owned(),
         )),
         OperatorResponse::NotLeader { .. }
         | OperatorResponse::OutcomeUnknown
