Resume only transfers that lead on from a router's state

The router then starts again, so it only costs a transfer; through real connections, where each request waits for its own response, no way to it is known.

--- a/src/distribution/change_log.rs
+++ b/src/distribution/change_log.rs
@@ -98,7 +98,13 @@
         if position.base == self.target() {
             return None;
         }
+        let leads_on = |records: &Vec<&Record>| {
+            let base = records[0].base;
+            base == position.base || base == ContentDigest::EMPTY
+        };
+        // A late response may have begun a transfer that a router has been through already.
         let resumed = position.transfer.and_then(|number| self.records_from(number));
+        let resumed = resumed.filter(leads_on);
         let (records, offset) = match resumed {
             Some(records) => (records, position.offset),
             None => (self.records_after(position.base), 0),
