Acknowledge a route table only when no older lease lasts beyond the bound

What callers saw: calls handled under a configuration that had been replaced more than config_apply_ms before (CONFIG).

Cause: the bound was no sum. A change was acknowledged at its commit, and a router stopped four fifths of the bound after it had heard of it; nothing bounds when it hears: its lease of 4 s may have been granted just before, its renewal may be held, late or lost. The class: a time limit that counts from another event than the promise does.

Change: the leader acknowledges a route table once its table of leases says that no lease under an older revision lasts for more than nine tenths of the bound. A router without the newest revision gets no longer lease, and no lease is given before the last chunk. A router under a leader of an older build stops as before. A router that stops says which revision it lacks, for how long, and how much has arrived.

--- a/src/control/lease_table.rs
+++ b/src/control/lease_table.rs
@@ -15,7 +15,7 @@
 /// The leader's view of one router's lease.
 #[derive(Debug, Clone, Copy)]
 struct Grant {
-    /// When the lease has certainly expired, on the leader's clock.
+    /// When the last lease that was granted has certainly expired, on the leader's clock.
     expires: Duration,
     /// The revision that the router has acknowledged to apply.
     acknowledged: u64,
@@ -44,7 +44,15 @@
         grant.acknowledged = grant.acknowledged.max(acknowledged);
     }
 
-    /// Whether every router that can hold a lease applies `revision` or a later one.
+    /// Records that a router applies the revision `acknowledged`, without granting it a lease.
+    pub fn acknowledge(&mut self, router: &RouterId, acknowledged: u64) {
+        if let Some(grant) = self.grants.get_mut(router) {
+            grant.acknowledged = grant.acknowledged.max(acknowledged);
+        }
+    }
+
+    /// Whether every router that can hold a lease at `now` applies `revision` or a later one. At a
+    /// later time than the present: whether that holds then, if no lease is granted for an older one.
     ///
     /// ```
     /// use samphireshift::control::{LeaseTable, RouterId};
--- a/src/daemon/leader_leases.rs
+++ b/src/daemon/leader_leases.rs
@@ -74,6 +74,11 @@
         self.with_leases(|table, now| table.grant(now, router.clone(), revision)).is_some()
     }
 
+    /// Records that a router uses a revision; false if this daemon may not grant leases.
+    pub(super) fn record_revision(&self, router: &RouterId, revision: u64) -> bool {
+        self.with_leases(|table, _| table.acknowledge(router, revision)).is_some()
+    }
+
     /// Waits for a newer configuration or VM list, at most for the renewal interval of leases.
     async fn wait_for_update(&self, request: &LeaseRequest) {
         let mut applied = self.cluster.control().applied();
@@ -111,19 +116,21 @@
         live.unwrap_or_default() as u32
     }
 
-    /// Waits up to `wait` until a revision is in force on all routers. Returns whether it is and
-    /// the VMs of the routers that lag behind, or `None` if this daemon does not lead.
+    /// Waits up to `wait` until a revision is in force on all routers, or will be after `lag` as the
+    /// leases of the others end by then. Returns whether that is so and the VMs of the routers that
+    /// lag behind for longer, or `None` if this daemon does not lead.
     pub async fn await_in_force(
         &self,
         revision: u64,
+        lag: Duration,
         wait: Duration,
     ) -> Option<(bool, Vec<VmName>)> {
         let deadline = Instant::now() + wait;
         loop {
             let progress = self.with_leases(|table, now| {
                 table.prune(now);
-                let lagging = table.lagging(now, revision).map(|r| r.vm.clone()).collect();
-                (table.is_in_force(now, revision), lagging)
+                let lagging = table.lagging(now + lag, revision).map(|r| r.vm.clone()).collect();
+                (table.is_in_force(now + lag, revision), lagging)
             });
             let (reached, lagging) = progress?;
             if reached || Instant::now() >= deadline {
--- a/src/daemon/operator_requests.rs
+++ b/src/daemon/operator_requests.rs
@@ -1,15 +1,16 @@
 //! Requests of operators, answered by the control group's leader or forwarded to it.
 
 use super::Node;
-use crate::control::{ControlCommand, ControlOutcome, Suspect, Ticket, TicketAnswer};
+use crate::control::{ControlCommand, ControlOutcome, RouteTable, Suspect, Ticket, TicketAnswer};
 use crate::event::Event;
 use crate::group::since_start;
 use crate::group::{GroupId, ReplicatedState};
 use crate::ledger::{Bill, BillSum, LedgerState};
-use crate::name::{OrganisationName, PoolName};
+use crate::name::{OrganisationName, PoolName, VmName};
 use crate::peer::{OperatorRequest, OperatorResponse, Unavailable};
 use crate::settings::Settings;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tarpc::context;
 
@@ -18,6 +19,9 @@
 /// Time allowed for the leader's response beyond the wait in the request; then another leader is
 /// tried.
 const RESPONSE_MARGIN: Duration = Duration::from_secs(1);
+/// Time for a change to be committed and accepted in one request to the leader; then the request is
+/// made again. Shorter than the time after which another leader is tried.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum wait in one request to the leader; longer waits for a revision to be in force are split.
 const MAX_WAIT_PER_REQUEST: Duration = Duration::from_secs(1);
 /// Time after the election of the first leader in which changes require the target number of
@@ -118,9 +122,7 @@
             OperatorRequest::Bills(organisation) => {
                 OperatorResponse::Bills(self.bills(&organisation))
             }
-            OperatorRequest::ReplaceRouteTable(table) => {
-                self.commit(ControlCommand::ReplaceRouteTable(table)).await
-            }
+            OperatorRequest::ReplaceRouteTable(table) => self.replace_route_table(table).await,
             OperatorRequest::RouteTable => OperatorResponse::RouteTable(
                 self.read_control(|state| state.config().route_table.clone()),
             ),
@@ -203,6 +205,34 @@
         }
     }
 
+    /// Commits a route table, and waits until the routers without it stop soon enough for the bound
+    /// on its application. An operator who gets `OutcomeUnknown` asks again.
+    async fn replace_route_table(&self, table: Arc<RouteTable>) -> OperatorResponse {
+        let deadline = Instant::now() + ACCEPT_TIMEOUT;
+        let number = table.number;
+        let is_stored = self.read_control(|state| {
+            let stored = state.config().route_table.as_ref();
+            stored.is_some_and(|stored| stored.number >= number)
+        });
+        if !is_stored {
+            let committed = self.commit(ControlCommand::ReplaceRouteTable(table)).await;
+            if !matches!(committed, OperatorResponse::Committed) {
+                return committed;
+            }
+        }
+        let revision = self.read_control(|state| state.config().revision);
+        let lag = self.settings.fleet_limits.max_lag();
+        let wait = deadline.saturating_duration_since(Instant::now());
+        match self.await_in_force(revision, lag, wait).await {
+            Some((true, _)) => OperatorResponse::Committed,
+            Some((false, lagging)) => {
+                log::info!("route table {number} is not accepted yet: {}", describe_lag(&lagging));
+                OperatorResponse::OutcomeUnknown
+            }
+            None => OperatorResponse::NotLeader { leader: self.leader() },
+        }
+    }
+
     async fn apply_ticket(&self, ticket: Ticket) -> OperatorResponse {
         let number = ticket.number;
         let command = ControlCommand::Ticket(ticket);
@@ -225,7 +255,7 @@
     }
 
     async fn wait_in_force(&self, revision: u64, wait: Duration) -> OperatorResponse {
-        match self.await_in_force(revision, wait).await {
+        match self.await_in_force(revision, Duration::ZERO, wait).await {
             Some((reached, lagging)) => {
                 if reached {
                     self.record_in_force(revision);
@@ -295,6 +325,14 @@
     }
 }
 
+/// Why a revision is not in force, for logs.
+fn describe_lag(lagging: &[VmName]) -> String {
+    match lagging {
+        [] => "leases of an earlier leader may last too long".to_owned(),
+        [first, ..] => format!("{} routers lack it, {first} among them", lagging.len()),
+    }
+}
+
 /// How long the leader may wait before it answers a request.
 fn leader_wait(request: &OperatorRequest) -> Duration {
     match request {
--- a/src/daemon/renewals.rs
+++ b/src/daemon/renewals.rs
@@ -3,6 +3,7 @@
 use super::Node;
 use super::wait::wait_for_news;
 use crate::control::Config;
+use crate::distribution::Chunk;
 use crate::peer::{RenewRequest, RenewResponse};
 use std::sync::Arc;
 
@@ -12,24 +13,22 @@
     /// its renewal interval.
     pub async fn renew(&self, request: RenewRequest) -> RenewResponse {
         self.journal.observe(request.stamp);
-        self.record_grant(&request.router, request.revision);
+        self.record_revision(&request.router, request.revision);
         let term = self.cluster.control().status().term;
         self.pools.record_report(term, &request.router, &request.tallies);
         self.mark_leaving(&request);
         if request.wait {
             self.wait_for_news(&request).await;
         }
-        // As in `grant_lease`: the lease is recorded before the configuration is read, and
-        // leadership is checked last.
-        let recorded = self.record_grant(&request.router, request.revision);
-        let config = self.publish_current();
+        let (recorded, config, chunk) = self.next_part(&request);
+        // As in `grant_lease`, leadership is checked last.
         if !recorded || !self.cluster.control().may_serve_reads() {
             return RenewResponse::NotLeader { address: self.leader_address() };
         }
         let has_list = self.pools.vm_list.borrow().is_some();
         RenewResponse::Renewed {
             revision: config.revision,
-            config: self.publisher.read_config(&request.config),
+            config: chunk,
             vms: self.publisher.read_vms(&request.vms).filter(|_| has_list),
             stamp: self.journal.timestamp(),
             voters: self.voter_addresses(),
@@ -37,6 +36,24 @@
         }
     }
 
+    /// The current configuration, and the part of it that the router gets now. A router that then has
+    /// all of it gets a lease, which is recorded; false if this daemon may not grant leases.
+    fn next_part(&self, request: &RenewRequest) -> (bool, Arc<Config>, Option<Chunk>) {
+        loop {
+            let config = self.publish_current();
+            let chunk = self.publisher.read_config(&request.config);
+            if chunk.as_ref().is_some_and(|chunk| !chunk.is_last()) {
+                return (self.record_revision(&request.router, request.revision), config, chunk);
+            }
+            let recorded = self.record_grant(&request.router, request.revision);
+            // Who waits for a later revision has seen the lease only if it was recorded before that.
+            let is_newest = self.read_control(|state| state.config().revision) == config.revision;
+            if is_newest {
+                return (recorded, config, chunk);
+            }
+        }
+    }
+
     /// Publishes the current configuration and returns it.
     fn publish_current(&self) -> Arc<Config> {
         let config = self.read_control(|state| state.config().clone());
--- a/src/distribution/change_log.rs
+++ b/src/distribution/change_log.rs
@@ -35,6 +35,13 @@
     pub remaining: u64,
 }
 
+impl Chunk {
+    /// Whether a router has the whole state after this chunk.
+    pub fn is_last(&self) -> bool {
+        self.remaining == 0
+    }
+}
+
 /// An encoded change with a unique number.
 #[derive(Debug, Clone)]
 struct Record {
--- a/src/distribution/receiver.rs
+++ b/src/distribution/receiver.rs
@@ -63,7 +63,7 @@
         }
         self.transfer = Some(chunk.transfer);
         self.buffer.extend_from_slice(&chunk.bytes);
-        if chunk.remaining > 0 {
+        if !chunk.is_last() {
             return Ok(None);
         }
         let bytes = std::mem::take(&mut self.buffer);
--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -31,6 +31,14 @@
 /// Delay after a transfer that could not be used.
 const TRANSFER_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// A revision of the configuration that this router knows of and does not have.
+#[derive(Debug, Clone, Copy)]
+struct LackingRevision {
+    revision: u64,
+    /// Since when the router has lacked it, or one before it.
+    since: Duration,
+}
+
 /// The state of the loop.
 struct LeaseLoop {
     gateway: Arc<Gateway>,
@@ -39,8 +47,8 @@
     state: RouterState,
     /// The digest of the VM list as received from a leader that sends no changes; 0 without one.
     list_digest: u64,
-    /// When this router learned of a configuration that it does not have yet.
-    outdated_since: Option<Duration>,
+    /// The newest configuration that this router knows of and does not have yet.
+    lacking: Option<LackingRevision>,
     had_lease: bool,
     /// The connection on which the lease was renewed last.
     leader: watch::Sender<LeaderConnection>,
@@ -56,7 +64,7 @@
         identity,
         state: RouterState::default(),
         list_digest: 0,
-        outdated_since: None,
+        lacking: None,
         had_lease: false,
         leader: watch::Sender::new(None),
     };
@@ -88,7 +96,7 @@
             self.learn_first(&peer).await;
         }
         let renewed = match peer.version >= ProtocolVersion::STATE_CHANGES {
-            true => self.renew_with_changes(address, &peer.client).await,
+            true => self.renew_with_changes(address, &peer).await,
             false => self.renew_with_whole_state(address, &peer.client).await,
         };
         if is_new && matches!(renewed, Ok(true)) {
@@ -133,10 +141,10 @@
     async fn renew_with_changes(
         &mut self,
         address: SocketAddr,
-        client: &PeerClient,
+        peer: &Dialed,
     ) -> Result<bool, RpcError> {
         let requested_at = since_start();
-        let response = client.renew(self.context(), self.renew_request()).await?;
+        let response = peer.client.renew(self.context(), self.renew_request()).await?;
         match response {
             RenewResponse::NotLeader { address: leader } => {
                 self.voters.leader_hint = leader.filter(|leader| *leader != address);
@@ -146,7 +154,7 @@
                 self.gateway.journal.observe(stamp);
                 self.update_fleet(voters, router_count);
                 let received = self.receive(config, vms);
-                self.use_lease(requested_at, revision);
+                self.use_lease(requested_at, revision, peer.version);
                 if let Err(error) = received {
                     log::warn!(
                         "cannot use the state from voter {address}: {error}; reading it anew"
@@ -194,24 +202,21 @@
         }
     }
 
-    /// Extends the lease if this router has the newest revision. Otherwise the lease ends soon,
+    /// Extends the lease if this router has the newest revision. Otherwise it ends as it stands,
     /// unless that revision arrives before.
-    fn use_lease(&mut self, requested_at: Duration, newest: u64) {
+    fn use_lease(&mut self, requested_at: Duration, newest: u64, version: ProtocolVersion) {
         let lease = &self.gateway.lease;
-        let Some(revision) = lease.revision() else { return };
-        if revision >= newest {
-            self.outdated_since = None;
+        let Some(installed) = lease.revision() else { return };
+        if installed >= newest {
+            self.lacking = None;
             lease.renew(requested_at, self.gateway.settings.lease_duration, None);
             return;
         }
-        let since = *self.outdated_since.get_or_insert_with(since_start);
-        let limit = since + self.gateway.settings.fleet_limits.outdated_limit();
-        lease.limit(limit);
-        if since_start() >= limit {
-            log::warn!(
-                "revision {newest} of the configuration has not arrived in time; \
-                 calls are refused under revision {revision}"
-            );
+        let since = self.lacking.map_or_else(since_start, |lacking| lacking.since);
+        self.lacking = Some(LackingRevision { revision: newest, since });
+        // An older leader has accepted the revision without regard to this router's lease.
+        if version < ProtocolVersion::LEASED_CHANGES {
+            lease.limit(since + self.gateway.settings.fleet_limits.outdated_limit());
         }
     }
 
@@ -237,7 +242,7 @@
                     self.gateway.prepare(&config);
                     self.install(config);
                 }
-                self.outdated_since = None;
+                self.lacking = None;
                 self.gateway.lease.renew(requested_at, self.gateway.settings.lease_duration, None);
                 Ok(true)
             }
@@ -304,9 +309,27 @@
                 let revision = self.gateway.lease.revision().unwrap_or(0);
                 self.gateway.journal.record(Event::LeaseGained { revision });
             }
-            (true, false) => self.gateway.journal.record(Event::LeaseLost),
+            (true, false) => {
+                self.gateway.journal.record(Event::LeaseLost);
+                self.log_why_stopped();
+            }
             _ => {}
         }
         self.had_lease = has_lease;
     }
+
+    fn log_why_stopped(&self) {
+        let installed = self.gateway.lease.revision().unwrap_or(0);
+        let Some(LackingRevision { revision, since }) = self.lacking else {
+            log::warn!("calls are refused: no voter renews the lease under revision {installed}");
+            return;
+        };
+        let lacking_ms = since_start().saturating_sub(since).as_millis();
+        let received = self.state.config_position().offset;
+        log::warn!(
+            "calls are refused: revision {revision} of the configuration is lacking for \
+             {lacking_ms} ms, {received} bytes of the transfer have arrived; revision {installed} \
+             is installed"
+        );
+    }
 }
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -16,6 +16,9 @@
     pub const SERVER_LIMITS: Self = Self(3);
     /// Since this version, daemons exchange what they know of whole requests that end servers, too.
     pub const DEADLY_REQUESTS: Self = Self(4);
+    /// Since this version, a leader accepts a route table only once the leases under older ones end
+    /// soon enough.
+    pub const LEASED_CHANGES: Self = Self(5);
     /// The version of this build.
-    pub const CURRENT: Self = Self::DEADLY_REQUESTS;
+    pub const CURRENT: Self = Self::LEASED_CHANGES;
 }
--- a/src/settings/fleet_limits.rs
+++ b/src/settings/fleet_limits.rs
@@ -2,8 +2,14 @@
 
 /// Fraction of the revocation bound that a lease lasts.
 const LEASE_FRACTION: f64 = 0.8;
-/// Fraction of the apply bound after which a router without the newest configuration stops. The
-/// rest is for the time until the router learns of it.
+/// Fraction of the apply bound for which a router may work under a configuration after a newer one
+/// was accepted. The rest is for clocks that run unlike and calls that are being written.
+const LAG_FRACTION: f64 = 0.9;
+/// The longest time for which leases under an older configuration hold up the acceptance of a newer
+/// one. Operators ask again after this time.
+const MAX_HOLD_UP: Duration = Duration::from_millis(2_500);
+/// Fraction of the apply bound after which a router without the newest configuration stops, under a
+/// leader that accepts a configuration without regard to the leases.
 const OUTDATED_FRACTION: f64 = 0.8;
 
 /// Limits that a fleet of routers and voters keeps, as promised to its callers and operators.
@@ -30,13 +36,20 @@
 impl FleetLimits {
     /// Returns how long a router may work after it asked for its lease. Routers that cannot reach
     /// the voters stop at the end of their lease, so a withdrawn key is rejected everywhere once
-    /// all earlier leases have expired.
+    /// all earlier leases have expired. A change is held up for `MAX_HOLD_UP` at most by a router
+    /// that stands still.
     pub fn lease_duration(&self) -> Duration {
-        self.revocation_bound.mul_f64(LEASE_FRACTION)
+        self.revocation_bound.mul_f64(LEASE_FRACTION).min(self.max_lag() + MAX_HOLD_UP)
+    }
+
+    /// Returns how long leases may last under a configuration after a newer one was accepted. A
+    /// configuration is accepted only once no lease under an older one lasts for longer.
+    pub fn max_lag(&self) -> Duration {
+        self.apply_bound.mul_f64(LAG_FRACTION)
     }
 
     /// Returns how long a router may work on after it has learned of a configuration that it does
-    /// not have yet.
+    /// not have yet, under a leader that does not keep to [`FleetLimits::max_lag`].
     pub fn outdated_limit(&self) -> Duration {
         self.apply_bound.mul_f64(OUTDATED_FRACTION)
     }
