Refuse a call whose router has lost its lease meanwhile as what it is

What callers saw: 503 no_server ("no server of the pool can take it now", come back in 400 ms) from a router without a lease, where another router would have served them at once.

When the lease ends meanwhile, the permit lets no byte out, each server is excluded in turn as not reachable, and the last error names the servers.

Change: without a lease a call that has not run is refused with no_lease.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -151,6 +151,8 @@
         }
         match &history.last_failure {
             Some(cause) => GatewayError::ResponseLost(cause.clone()),
+            // Without a lease nothing is written to any server.
+            None if !self.gateway.lease.is_valid() => GatewayError::NoLease,
             None if let Some(wait) = self.gateway.servers.pool_backoff_left(&self.pool) => {
                 GatewayError::ServersBackingOff { pool: self.pool.to_string(), wait }
             }
--- a/src/route/lease.rs
+++ b/src/route/lease.rs
@@ -77,6 +77,11 @@
             .map(|state| state.config.clone())
     }
 
+    /// Whether the lease allows the router to work now.
+    pub fn is_valid(&self) -> bool {
+        !self.remaining().is_zero()
+    }
+
     /// Runs `work` if the lease is valid and `allowed` returns true for its configuration.
     ///
     /// No newer configuration is installed while `work` runs, so it must be short. Returns false if
