--- a/tests/config_in_time/fleet.rs
+++ b/tests/config_in_time/fleet.rs
@@ -284,7 +284,8 @@
             let chunk = publisher.read_config(&request.position).filter(|_| !is_stale);
             let is_partial = chunk.as_ref().is_some_and(|chunk| !chunk.is_last());
             let is_last = chunk.as_ref().is_some_and(|chunk| chunk.is_last());
-            if !is_partial && !(is_last && self.left_out == LeftOut::LastChunk) {
+            let unrecorded = is_last && self.left_out == LeftOut::LastChunk;
+            if !is_partial && !unrecorded {
                 leader.table.grant(at(now), id(request.router), request.revision);
             }
             let response = Response {
