Pass calls on to another router where no server can be reached

Cause: a router had one way to a server, its own connections. It could only refuse (as where connections were reset) or wait (as where they hung). The class: one path, without another one and without the knowledge that it is lost.

Change: a router finds out that it reaches no server of a pool (policy/path_monitor.rs, pure: three servers that accept no connection, and no byte from any for 0.3 s; a silent pool is tried with one connection a second at most). Then its calls go to another router: one hop, on a connection that starts with the handshake of daemons, with the time left, the attempts so far, the revision and the last event. The leader names routers with a lease that have not lost the pool themselves, near ones first (find_helpers, protocol version 6); it is asked only while a path is lost. What is learned of servers counts at the other router. Streams and calls that may be repeated leave a lost path at once.

--- a/src/backend/connection_pool.rs
+++ b/src/backend/connection_pool.rs
@@ -75,6 +75,8 @@
     thread: ThreadId,
     /// Whether the connection may be used for another exchange.
     reusable: bool,
+    /// Whether the connection was opened for this exchange.
+    is_new: bool,
 }
 
 impl ConnectionPool {
@@ -93,17 +95,8 @@
         address: SocketAddr,
         fresh: bool,
     ) -> Result<PooledConnection, SendError> {
-        let thread = std::thread::current().id();
-        if !fresh && let Some((sender, exchange)) = self.idle.take(address, thread) {
-            exchange.start(None);
-            return Ok(PooledConnection {
-                idle: self.idle.clone(),
-                address,
-                sender,
-                exchange,
-                thread,
-                reusable: true,
-            });
+        if !fresh && let Some(connection) = self.acquire_idle(address) {
+            return Ok(connection);
         }
         let connecting = TcpStream::connect(address);
         let stream = match tokio::time::timeout(self.connect_timeout, connecting).await {
@@ -111,6 +104,35 @@
             Ok(Err(cause)) => return Err(SendError::NotSent(cause.to_string())),
             Err(_) => return Err(SendError::NotSent("connection attempt timed out".to_owned())),
         };
+        self.adopt(address, stream).await
+    }
+
+    /// Takes an idle connection, if there is one.
+    pub fn acquire_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
+        let thread = std::thread::current().id();
+        let (sender, exchange) = self.idle.take(address, thread)?;
+        exchange.start(None);
+        Some(PooledConnection {
+            idle: self.idle.clone(),
+            address,
+            sender,
+            exchange,
+            thread,
+            reusable: true,
+            is_new: false,
+        })
+    }
+
+    /// Uses a connection that was opened elsewhere.
+    ///
+    /// # Errors
+    /// [`SendError::NotSent`] if the connection cannot be used.
+    pub async fn adopt(
+        &self,
+        address: SocketAddr,
+        stream: TcpStream,
+    ) -> Result<PooledConnection, SendError> {
+        let thread = std::thread::current().id();
         let not_sent = |cause: String| SendError::NotSent(cause);
         configure_socket(&stream).map_err(|cause| not_sent(cause.to_string()))?;
         let exchange = Arc::new(ExchangeState::default());
@@ -125,7 +147,15 @@
             let _ = connection.await;
         });
         let idle = self.idle.clone();
-        Ok(PooledConnection { idle, address, sender, exchange, thread, reusable: true })
+        Ok(PooledConnection {
+            idle,
+            address,
+            sender,
+            exchange,
+            thread,
+            reusable: true,
+            is_new: true,
+        })
     }
 
     /// Fetches a small document with GET. `None` unless a complete response with a status of 2xx
@@ -181,6 +211,16 @@
 }
 
 impl PooledConnection {
+    /// Whether the connection was opened for this exchange.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
+    /// Bytes of this exchange that were written.
+    pub fn bytes_written(&self) -> u64 {
+        self.exchange.bytes_written()
+    }
+
     /// Sets the permit that is checked around every write of the next exchange.
     pub fn set_permit(&self, permit: Arc<dyn WritePermit>) {
         self.exchange.start(Some(permit));
--- /dev/null
+++ b/src/daemon/helpers.rs
@@ -0,0 +1,72 @@
+//! The leader's answers to routers that do not reach the servers: which routers can take their calls.
+
+use super::Node;
+use crate::control::RouterId;
+use crate::name::{DataCentre, PoolName};
+use crate::peer::{HelperRequest, HelperResponse, PeerIdentity};
+use crate::policy::{Helper, choose_helpers};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// How long a router counts as cut off after it asked for helpers. Routers that are cut off ask again
+/// within this time.
+const CUT_TTL: Duration = Duration::from_millis(1_500);
+
+/// Where routers are, and which pools they do not reach.
+#[derive(Debug, Default)]
+pub struct LeaderHelpers {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    places: BTreeMap<RouterId, (DataCentre, SocketAddr)>,
+    cut: BTreeMap<RouterId, (Instant, Vec<PoolName>)>,
+}
+
+impl LeaderHelpers {
+    /// Remembers where a daemon that has connected accepts connections.
+    pub fn record_place(&self, peer: &PeerIdentity) {
+        let mut inner = self.inner.lock().expect("helpers lock");
+        // A VM runs one process at a time.
+        inner.places.retain(|router, _| router.vm != peer.vm);
+        let router = RouterId { vm: peer.vm.clone(), run: peer.run };
+        inner.places.insert(router, (peer.data_centre.clone(), peer.address));
+    }
+
+    /// Records that a router is cut off, and chooses its helpers among the `live` routers.
+    fn choose(&self, request: &HelperRequest, live: &[RouterId]) -> Vec<Helper> {
+        let mut inner = self.inner.lock().expect("helpers lock");
+        let Inner { places, cut } = &mut *inner;
+        let now = Instant::now();
+        cut.insert(request.router.clone(), (now, request.lost.clone()));
+        cut.retain(|_, (asked_at, _)| now.duration_since(*asked_at) < CUT_TTL);
+        let Some((own, _)) = places.get(&request.router) else { return Vec::new() };
+        let is_cut = |router: &&RouterId| {
+            let lost = cut.get(router).map_or(&[][..], |(_, lost)| lost);
+            lost.iter().any(|pool| request.lost.contains(pool))
+        };
+        let place = |router: &RouterId| places.get(router).map(|place| (router.clone(), place));
+        let sound = live.iter().filter(|router| !is_cut(router)).filter_map(place);
+        let sound = sound.map(|(router, (data_centre, address))| Helper {
+            vm: router.vm,
+            data_centre: data_centre.clone(),
+            address: *address,
+        });
+        let in_own = |router: &&RouterId| places.get(router).is_some_and(|(dc, _)| dc == own);
+        let cut_near = cut.keys().filter(in_own).count();
+        choose_helpers(own, cut_near, sound.collect(), &mut rand::rng())
+    }
+}
+
+impl Node {
+    /// The helpers of a router that does not reach some pools.
+    pub fn find_helpers(&self, request: &HelperRequest) -> HelperResponse {
+        match self.known_routers() {
+            Some(live) => HelperResponse::Known(self.helpers.choose(request, &live)),
+            None => HelperResponse::NotLeader,
+        }
+    }
+}
--- a/src/daemon/leader_leases.rs
+++ b/src/daemon/leader_leases.rs
@@ -154,6 +154,11 @@
         })
     }
 
+    /// Routers with a live lease of this leader; `None` if this daemon does not lead.
+    pub(super) fn known_routers(&self) -> Option<Vec<RouterId>> {
+        self.with_leases(|table, now| table.live(now).map(|(router, _)| router.clone()).collect())
+    }
+
     /// Runs `update` on the lease table of the current term and the time since process start;
     /// `None` if this daemon does not lead.
     fn with_leases<F, T>(&self, update: F) -> Option<T>
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,4 +1,5 @@
 use super::deadly_parts::LeaderParts;
+use super::helpers::LeaderHelpers;
 use super::leader_leases::LeaderLeases;
 use super::leader_pools::LeaderPools;
 use super::server_limits::LeaderLimits;
@@ -39,6 +40,8 @@
     pub parts: LeaderParts,
     /// The limits that servers name, and the tokens for them, which the leader gives out.
     pub limits: LeaderLimits,
+    /// Where routers are, and which of them do not reach the servers.
+    pub helpers: LeaderHelpers,
     /// The configuration and the VM list as distributed to routers.
     pub publisher: Publisher,
     /// Renders the metrics of this process.
@@ -133,6 +136,7 @@
         if peer.durable && !self.settings.seeds.is_empty() {
             self.cluster.peers().add(peer.address);
         }
+        self.helpers.record_place(peer);
     }
 
     /// Runs `read` on the control state as applied so far on this daemon.
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -4,9 +4,10 @@
 use crate::event::{Event, EventQuery};
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
-    EventResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
-    OperatorRequest, OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec,
-    RenewRequest, RenewResponse, SubmitResponse, SuspectReport, SuspectResponse, accept,
+    EventResponse, HelperRequest, HelperResponse, LeaseRequest, LeaseResponse, LimitReport,
+    LimitResponse, NodeStatus, OperatorRequest, OperatorResponse, PartReport, PartResponse, Peer,
+    PeerIdentity, PostcardCodec, RenewRequest, RenewResponse, SubmitResponse, SuspectReport,
+    SuspectResponse, accept,
 };
 use bytes::Bytes;
 use futures::StreamExt;
@@ -82,6 +83,10 @@
         self.0.share_limits(report).await
     }
 
+    async fn find_helpers(self, _: Context, request: HelperRequest) -> HelperResponse {
+        self.0.find_helpers(&request)
+    }
+
     async fn operate(self, _: Context, request: OperatorRequest) -> OperatorResponse {
         if !self.0.cluster.control().status().leading {
             return OperatorResponse::NotLeader { leader: self.0.leader() };
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -104,6 +104,7 @@
         pools: LeaderPools::default(),
         parts: LeaderParts::default(),
         limits: LeaderLimits::default(),
+        helpers: Default::default(),
         publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -100,6 +100,7 @@
         pools: LeaderPools::default(),
         parts: LeaderParts::default(),
         limits: LeaderLimits::default(),
+        helpers: Default::default(),
         publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -1,6 +1,7 @@
 //! Turns an incoming request into a [`Call`]: route lookup, API key check and reading of the body.
 
 use super::accepted_call::Call;
+use super::hop::Hop;
 use super::server_selection::{pick_pool, stable_hash};
 use super::{Access, Gateway, GatewayError, RequestHead, RequestedModel, RouteIndex};
 use crate::control::{CallerLimits, KeyHash, Suspect};
@@ -36,22 +37,29 @@
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
     started: Instant,
+    hop: Option<Hop>,
 ) -> Result<Call, GatewayError> {
     if gateway.closed.load(Ordering::Relaxed) {
         return Err(GatewayError::Stopping);
     }
     let (parts, body) = request.into_parts();
-    let body = match gateway.has_started() {
+    let body = match gateway.has_started() || hop.is_some() {
         true => RequestBody::Unread(body),
         false => RequestBody::Buffered(wait_until_started(gateway, &parts, body, started).await?),
     };
     let index = gateway.route_index().ok_or(GatewayError::NoLease)?;
+    if hop.is_some_and(|hop| hop.revision > index.config.revision) {
+        return Err(GatewayError::NoLease);
+    }
     let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or("").to_owned();
     let path = parts.uri.path();
     let no_route = || GatewayError::NoRoute(format!("{host}{path}"));
     let route = index.route(&host, path).ok_or_else(no_route)?.clone();
-    let head = gateway.format.parse_request(&parts.headers).map_err(GatewayError::Malformed)?;
+    let mut head = gateway.format.parse_request(&parts.headers).map_err(GatewayError::Malformed)?;
+    if let Some(event) = hop.and_then(|hop| hop.last_event) {
+        head.last_event = Some(event);
+    }
     let key = head.key.as_deref().map(KeyHash::of);
     let (organisation, key_priority) = match index.authorize(&route, key.as_ref()) {
         Access::Anonymous => (None, None),
@@ -65,7 +73,7 @@
         return Err(GatewayError::Blocked(part));
     }
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
-    let deadline = started + timeout;
+    let deadline = started + hop.map_or(timeout, |hop| hop.left.min(timeout));
     let body = read_body(body, index.limits(), deadline.min(started + RECEIVE_TIMEOUT)).await?;
     let caller = organisation.as_ref().map(OrganisationName::as_str);
     let request = gateway.hasher.id(&parts.method, &parts.uri, caller, &body);
@@ -100,6 +108,7 @@
         uri,
         headers: parts.headers,
         body,
+        hop,
         started,
         deadline,
     })
--- a/src/gateway/accepted_call.rs
+++ b/src/gateway/accepted_call.rs
@@ -1,5 +1,6 @@
 //! A call that was accepted, with what its attempts need and what they have come to.
 
+use super::hop::Hop;
 use super::server_selection::{Selection, SelectionCriteria, stable_hash};
 use super::{Gateway, RequestHead, RouteIndex};
 use crate::control::{ConfiguredRoute, KeyHash, Suspect};
@@ -51,6 +52,8 @@
     pub headers: HeaderMap,
     /// The whole request body.
     pub body: Bytes,
+    /// What the router says that has passed the call on; `None` for a caller's own call.
+    pub hop: Option<Hop>,
     /// When the request arrived.
     pub started: Instant,
     /// When the response is due.
@@ -68,6 +71,22 @@
     pub last_failure: Option<String>,
     /// Whether the retry budget has already been charged for the next attempt.
     pub budget_taken: bool,
+    /// Servers and routers that could not be connected to.
+    pub unreached: u32,
+    /// Routers that refused the call after it was passed on to them.
+    pub refusals: u32,
+}
+
+impl AttemptHistory {
+    /// The attempts made for a call before it was passed on to this router.
+    pub fn passed_on(hop: Hop) -> Self {
+        Self {
+            sends: hop.sends,
+            last_failure: hop.may_have_run.then(|| "another router got no response".to_owned()),
+            budget_taken: true,
+            ..Self::default()
+        }
+    }
 }
 
 impl Call {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -5,10 +5,16 @@
 use super::server_selection::{SelectedServer, Selection};
 use super::{Access, GatewayError};
 use crate::name::VmName;
-use std::time::Instant;
+use crate::policy::Helper;
+use http::StatusCode;
+use std::time::{Duration, Instant};
 
 /// The most servers tried for one call, including those that could not be reached.
 const MAX_SERVERS_TRIED: usize = 8;
+/// The most servers and routers tried for one call.
+const MAX_TARGETS_TRIED: usize = 12;
+/// Routers that may refuse a call that is passed on before the caller is told to come back.
+const MAX_REFUSALS: u32 = 2;
 /// The part of the route's target latency, from its arrival, that a call may wait for a limited server;
 /// the rest is for the answer. A longer queue would only make all answers late.
 const LIMIT_WAIT_FRACTION: f64 = 0.5;
@@ -19,6 +25,22 @@
 /// The rank in the queue of the most urgent call that has not been sent.
 const FIRST_RANK: u8 = 1;
 
+/// Where a call is sent.
+#[derive(Debug)]
+enum Target {
+    Server(SelectedServer),
+    Router(Helper),
+}
+
+impl Target {
+    fn name(&self) -> &VmName {
+        match self {
+            Target::Server(selected) => &selected.server.vm.name,
+            Target::Router(helper) => &helper.vm,
+        }
+    }
+}
+
 impl Call {
     /// Sends the call to one server after another until one responds. When a stream is resumed,
     /// `last_event` is the id of the last event that the caller has received.
@@ -32,7 +54,7 @@
             if history.sends > 0 && !self.may_retry(history) {
                 return Err(self.final_error(history));
             }
-            let selected = self.next_server(history).await?;
+            let target = self.next_target(history).await?;
             // This may have been found while the call was under way.
             if let Some(suspect) = self.gateway.parts.blocked(&self.suspects) {
                 return Err(match &history.last_failure {
@@ -44,43 +66,55 @@
             if history.sends > 0 && !budget_taken && !self.gateway.take_retry(&self.pool) {
                 return Err(self.final_error(history));
             }
-            let server = selected.server.clone();
-            history.servers.push(server.vm.name.clone());
+            let name = target.name().clone();
+            history.servers.push(name.clone());
             let timeout = self.response_timeout(history);
             history.sends += 1;
             metrics::counter!("samphireshift_attempts_total").increment(1);
-            match self.send(selected, last_event, timeout).await {
+            let outcome = match target {
+                Target::Server(selected) => {
+                    let version = selected.server.vm.version.clone();
+                    let outcome = self.send(selected, last_event, timeout).await;
+                    if let (SendOutcome::Answered(_), Some(session)) = (&outcome, session) {
+                        self.gateway.sessions.record(session, version);
+                    }
+                    outcome
+                }
+                Target::Router(helper) => self.pass_on(&helper, history, last_event, timeout).await,
+            };
+            match outcome {
                 SendOutcome::Answered(exchange) => {
                     let (status, attempt) = (exchange.response.status(), history.sends);
                     log::debug!(
-                        "call {}: server {} responded with {status} on attempt {attempt}",
+                        "call {}: {name} responded with {status} on attempt {attempt}",
                         self.log_id(),
-                        server.vm.name
                     );
-                    if let Some(session) = session {
-                        self.gateway.sessions.record(session, server.vm.version.clone());
-                    }
                     return Ok(exchange);
                 }
                 SendOutcome::NotSent(cause) => {
                     history.sends -= 1;
-                    log::info!(
-                        "call {}: could not send to server {}: {cause}",
-                        self.log_id(),
-                        server.vm.name
-                    );
+                    log::info!("call {}: could not send to {name}: {cause}", self.log_id());
+                }
+                SendOutcome::Unreached(cause) => {
+                    history.sends -= 1;
+                    history.unreached += 1;
+                    log::info!("call {}: could not reach {name}: {cause}", self.log_id());
+                }
+                SendOutcome::Refused { status, wait } => {
+                    history.sends -= 1;
+                    history.refusals += 1;
+                    log::info!("call {}: router {name} refuses it: {status}", self.log_id());
+                    if status.is_client_error() || history.refusals >= MAX_REFUSALS {
+                        return Err(self.refusal(history, status, wait));
+                    }
                 }
                 SendOutcome::NotRun(status) => {
-                    log::info!(
-                        "call {}: server {} did not run it: {status}",
-                        self.log_id(),
-                        server.vm.name
-                    );
+                    log::info!("call {}: server {name} did not run it: {status}", self.log_id());
                 }
                 SendOutcome::Lost(cause) => {
-                    let (log_id, server) = (self.log_id(), &server.vm.name);
                     log::info!(
-                        "call {log_id}: no valid response from server {server} of pool {}: {cause}",
+                        "call {}: no valid response from {name} of pool {}: {cause}",
+                        self.log_id(),
                         self.pool
                     );
                     history.last_failure = Some(cause);
@@ -89,6 +123,47 @@
         }
     }
 
+    /// Selects a server for the next attempt, or another router if no server can be reached.
+    async fn next_target(&self, history: &AttemptHistory) -> Result<Target, GatewayError> {
+        let path = self.gateway.paths.pool(&self.pool);
+        if path.is_lost() {
+            return self.next_helper(history).await;
+        }
+        match self.next_server(history).await {
+            Ok(selected) => Ok(Target::Server(selected)),
+            Err(error) if history.unreached == 0 => Err(error),
+            Err(_) => self.next_helper(history).await,
+        }
+    }
+
+    /// Selects another router for the next attempt. A call is passed on once only.
+    async fn next_helper(&self, history: &AttemptHistory) -> Result<Target, GatewayError> {
+        let is_passed_on = self.hop.is_some();
+        let picked = match is_passed_on || history.servers.len() >= MAX_TARGETS_TRIED {
+            true => None,
+            false => self.gateway.helpers.pick(&self.gateway, &history.servers).await,
+        };
+        picked.map(Target::Router).ok_or_else(|| match self.final_error(history) {
+            GatewayError::NoServer(pool) => GatewayError::NoPath(pool),
+            error => error,
+        })
+    }
+
+    /// The error for a call that other routers refuse. What they refuse they have not run.
+    fn refusal(
+        &self,
+        history: &AttemptHistory,
+        status: StatusCode,
+        wait: Option<Duration>,
+    ) -> GatewayError {
+        match self.final_error(history) {
+            GatewayError::NoServer(_) | GatewayError::ServersFull => {
+                GatewayError::PassedOn { status, wait }
+            }
+            error => error,
+        }
+    }
+
     /// Selects the server for the next attempt. If servers would take the call but for their limits,
     /// waits until one may be sent the call; returns at once if that would be too late.
     async fn next_server(&self, history: &AttemptHistory) -> Result<SelectedServer, GatewayError> {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,6 +3,7 @@
 use super::accept::{accept, parts_for_model};
 use super::accepted_call::{AttemptHistory, Call};
 use super::exchange::Exchange;
+use super::hop::Hop;
 use super::response::{ResponseBody, full_body, may_carry_events, strip_hop_headers};
 use super::server_selection::Selection;
 use super::stream_relay::{StreamRelay, relay_stream};
@@ -23,29 +24,34 @@
 pub async fn serve(
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
+    hop: Option<Hop>,
 ) -> Result<Response<ResponseBody>, GatewayError> {
     let started = Instant::now();
-    let call = accept(gateway, request, started).await?;
+    let call = accept(gateway, request, started, hop).await?;
     let deadline = call.deadline;
     let call = Arc::new(call);
-    call.gateway.record_call(&call.pool);
+    // A call counts once, where the caller sent it.
+    if hop.is_none() {
+        call.gateway.record_call(&call.pool);
+    }
     call.gateway.count_for_silence();
-    let mut history = AttemptHistory::default();
+    let mut history = hop.map(AttemptHistory::passed_on).unwrap_or_default();
+    let sends_before = history.sends;
     let work = try_servers(&call, &mut history);
     let served = tokio::select! {
         served = tokio::time::timeout_at(deadline.into(), work) => served,
         // Dropping the attempt closes its connection: the call may still wait in its server's queue.
         suspect = call.gateway.parts.until_blocked(&call.suspects) => {
             log::info!("call {}: given up, as {suspect} ends servers", call.log_id());
-            Ok(Err(match history.sends {
-                0 => GatewayError::Blocked(suspect),
-                _ => GatewayError::ResponseLost(format!("{suspect} ends servers")),
+            Ok(Err(match history.sends == sends_before {
+                true => GatewayError::Blocked(suspect),
+                false => GatewayError::ResponseLost(format!("{suspect} ends servers")),
             }))
         }
     };
     match served {
         Ok(response) => response,
-        Err(_) if history.sends == 0 => Err(GatewayError::NotSentInTime),
+        Err(_) if history.sends == sends_before => Err(GatewayError::NotSentInTime),
         Err(_) => Err(GatewayError::TimedOut),
     }
 }
@@ -72,7 +78,12 @@
             history.last_failure = Some("the server returned a 5xx status".to_owned());
             continue;
         }
-        if let Some(larger) = call.escalation(&exchange, history) {
+        // The other router has chosen among the models.
+        let larger = match exchange.is_passed_on() {
+            true => None,
+            false => call.escalation(&exchange, history),
+        };
+        if let Some(larger) = larger {
             call.record_response_time(exchange.elapsed());
             exchange.discard();
             history.servers.clear();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,15 +1,19 @@
 //! One call at one backend server, up to the head of its response.
 
+use super::Gateway;
 use super::accepted_call::Call;
+use super::hop::HOP;
 use super::part_watch::RunRecord;
+use super::paths::PoolPath;
 use super::response::{ends_with_connection, strip_hop_headers};
 use super::response_timeout::ResponseTimeout;
 use super::route_permit::RoutePermit;
 use super::server_selection::SelectedServer;
-use super::server_table::InFlightCall;
+use super::server_table::{InFlightCall, ServerState};
 use super::tallies::{CallOutcome, CallRecorder};
 use super::{ForwardedHead, ResponseHead};
 use crate::backend::{BackendBody, ByteBudget, PooledConnection, SendError};
+use crate::policy::Helper;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -19,6 +23,8 @@
 /// A connection is dropped this long before its server's announced keep-alive timeout, which is in
 /// whole seconds, so that no call is sent while the server closes it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
+/// Why a call is not sent to a server of a pool that cannot be reached.
+const PATH_LOST: &str = "no server of the pool can be reached";
 /// How long an idle connection is kept if its server announces no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(3);
 
@@ -28,6 +34,15 @@
     Answered(Box<Exchange>),
     /// No byte of the call was sent.
     NotSent(String),
+    /// No byte of the call was sent, as the server cannot be connected to.
+    Unreached(String),
+    /// The router that the call was passed on to refuses it, and it was not run there.
+    Refused {
+        /// The status of the refusal.
+        status: StatusCode,
+        /// When to come back.
+        wait: Option<Duration>,
+    },
     /// The server states that it did not run the call.
     NotRun(StatusCode),
     /// The call may have run, but there is no valid response.
@@ -48,12 +63,42 @@
     pub timeout: ResponseTimeout,
     sent_at: Instant,
     run: RunRecord,
+    /// The path on which bytes of the response come; `None` for a call that was passed on.
+    path: Option<Arc<PoolPath>>,
     /// The budget that the bytes held of the response count towards.
     pub buffers: Arc<ByteBudget>,
     connection: PooledConnection,
 }
 
 impl Exchange {
+    /// The exchange of a call that was passed on to another router. What is learned of servers is
+    /// recorded there.
+    pub(super) fn of_helper(
+        call: &Call,
+        helper: &Helper,
+        response: Response<BackendBody>,
+        connection: PooledConnection,
+        timeout: ResponseTimeout,
+        sent_at: Instant,
+    ) -> Self {
+        let gateway = &call.gateway;
+        let head = gateway.format.parse_response(response.headers());
+        let model = call.model.as_ref();
+        let tallies = &gateway.passed_on.tallies;
+        Self {
+            response,
+            head,
+            in_flight: ServerState::of_helper(helper, &call.pool).begin_call(&[], 0),
+            recorder: tallies.begin_call(&call.pool, None, &call.route.name, model, 1.0),
+            timeout,
+            sent_at,
+            run: gateway.passed_on.runs.begin_run(&call.suspects, &Arc::default()),
+            path: None,
+            buffers: gateway.buffers.clone(),
+            connection,
+        }
+    }
+
     /// The whole response was read: records the outcome and returns the connection to the pool.
     pub fn finish(mut self) {
         self.recorder.set_outcome(match self.response.status().is_server_error() {
@@ -69,8 +114,29 @@
         self.connection.return_to_pool_for(keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE));
     }
 
+    /// Whether the response comes from a server by way of another router.
+    pub fn is_passed_on(&self) -> bool {
+        self.path.is_none()
+    }
+
+    /// Waits until the path on which the response comes is lost.
+    pub async fn until_path_lost(path: Option<Arc<PoolPath>>, gateway: &Arc<Gateway>) {
+        match path {
+            Some(path) => path.until_lost(gateway).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// The path on which the response comes; `None` for a call that was passed on.
+    pub fn path(&self) -> Option<Arc<PoolPath>> {
+        self.path.clone()
+    }
+
     /// An event of the answer has arrived.
     pub fn event_received(&mut self, event: u64) {
+        if let Some(path) = &self.path {
+            path.record_heard();
+        }
         self.recorder.event_received(event);
         self.run.answer_received();
     }
@@ -120,14 +186,11 @@
             baseline_ms,
         );
         let new_connection = !self.route.kind.is_retry_safe();
-        let mut connection =
-            match self.gateway.connections.acquire(server.vm.address, new_connection).await {
-                Ok(connection) => connection,
-                Err(error) => {
-                    server.pause();
-                    return SendOutcome::NotSent(error.to_string());
-                }
-            };
+        let path = self.gateway.paths.pool(&self.pool);
+        let mut connection = match self.connect(&server, new_connection, &path).await {
+            Ok(connection) => connection,
+            Err(cause) => return SendOutcome::Unreached(cause),
+        };
         // Opening the connection took time, in which the server may have said more.
         if self.gateway.servers.is_leaving(&server.vm.name) || !server.backoff_left().is_zero() {
             connection.return_to_pool();
@@ -144,9 +207,20 @@
         let mut run = self.gateway.parts.begin_run(&self.suspects, &self.ended_servers);
         let sent_at = Instant::now();
         permit.spend();
-        let result = self.wait_for_response(timeout, connection.send_unchanged(request)).await;
+        let waiting = self.wait_for_response(timeout, connection.send_unchanged(request));
+        let result = match self.unless_lost(&path, waiting).await {
+            Some(result) => result,
+            None if connection.bytes_written() == 0 => {
+                permit.unspend();
+                return SendOutcome::Unreached(PATH_LOST.to_owned());
+            }
+            None => return SendOutcome::Lost(PATH_LOST.to_owned()),
+        };
         let response = match result {
-            Ok(Ok(response)) => response,
+            Ok(Ok(response)) => {
+                path.record_heard();
+                response
+            }
             Ok(Err(SendError::NotSent(cause))) => {
                 permit.unspend();
                 return SendOutcome::NotSent(cause);
@@ -155,6 +229,9 @@
                 server.record_failure();
                 run.server_ended(&server.vm.name, sent_at.elapsed());
                 server.pause();
+                if connection.is_new() {
+                    path.record_unreached(&self.gateway, &server.vm.name);
+                }
                 return SendOutcome::Lost(cause);
             }
             Err(_) => {
@@ -212,11 +289,61 @@
             timeout,
             sent_at,
             run,
+            path: Some(path),
             buffers: self.gateway.buffers.clone(),
             connection,
         }))
     }
 
+    /// Connects to a server; says why if that is not possible.
+    async fn connect(
+        &self,
+        server: &ServerState,
+        new_connection: bool,
+        path: &Arc<PoolPath>,
+    ) -> Result<PooledConnection, String> {
+        let (connections, address) = (&self.gateway.connections, server.vm.address);
+        let idle = if new_connection { None } else { connections.acquire_idle(address) };
+        if let Some(connection) = idle {
+            return Ok(connection);
+        }
+        if self.hop.is_none() && path.refuses_connections(&self.gateway) {
+            return Err(PATH_LOST.to_owned());
+        }
+        let connected = tokio::select! {
+            connected = connections.acquire(address, true) => connected,
+            () = path.until_lost(&self.gateway) => return Err(PATH_LOST.to_owned()),
+        };
+        match connected {
+            Ok(connection) => {
+                path.record_connected();
+                Ok(connection)
+            }
+            Err(error) => {
+                server.pause();
+                path.record_unreached(&self.gateway, &server.vm.name);
+                Err(error.to_string())
+            }
+        }
+    }
+
+    /// The output of `waiting`, or `None` once the path is lost and the call may be sent again.
+    async fn unless_lost<F>(&self, path: &Arc<PoolPath>, waiting: F) -> Option<F::Output>
+    where
+        F: Future,
+    {
+        let mut waiting = std::pin::pin!(waiting);
+        tokio::select! {
+            output = waiting.as_mut() => return Some(output),
+            () = path.until_lost(&self.gateway) => {}
+        }
+        match self.route.kind.is_retry_safe() {
+            true => None,
+            // It may have run, and the answer may still come.
+            false => Some(waiting.await),
+        }
+    }
+
     fn request(
         &self,
         server: &crate::name::VmName,
@@ -226,6 +353,7 @@
         strip_hop_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
+        headers.remove(HOP);
         let head = ForwardedHead {
             organisation: self.organisation.as_ref(),
             server,
@@ -244,7 +372,10 @@
 }
 
 /// Why a response cannot be the server's own; `None` if it can.
-fn invalid_reason(response: &Response<BackendBody>, head: &ResponseHead) -> Option<&'static str> {
+pub(super) fn invalid_reason(
+    response: &Response<BackendBody>,
+    head: &ResponseHead,
+) -> Option<&'static str> {
     if response.headers().contains_key(header::CONTENT_ENCODING) {
         return Some("the response has a Content-Encoding that was not requested");
     }
--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -7,6 +7,9 @@
 /// clears it before.
 const BLOCKED_RETRY_DELAY: Duration = Duration::from_secs(600);
 
+/// When a caller may come back to a router that reaches no server: it tries one that often.
+const PATH_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// Why a call got no response from a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum GatewayError {
@@ -44,6 +47,19 @@
     /// Every server that was tried stated that it did not run the call.
     #[error("every server that was tried is full; retry later")]
     ServersFull,
+    /// This router reaches no server of the pool, and no other router takes the call.
+    #[error("no server of pool {0} can be reached from this router; retry at another router")]
+    NoPath(String),
+    /// The router that the call was passed on to refuses it.
+    #[error(
+        "no server can be reached from this router, and another one refuses the call: {status}"
+    )]
+    PassedOn {
+        /// The status of the refusal.
+        status: StatusCode,
+        /// When the caller may come back, as the other router says.
+        wait: Option<Duration>,
+    },
     /// The deadline passed before the call was sent.
     #[error("the deadline passed before the call was sent; retry with a longer timeout")]
     NotSentInTime,
@@ -87,8 +103,10 @@
             | GatewayError::ServersBackingOff { .. }
             | GatewayError::ServersLimited { .. }
             | GatewayError::ServersFull
+            | GatewayError::NoPath(_)
             | GatewayError::Blocked(_)
             | GatewayError::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
+            GatewayError::PassedOn { status, .. } => *status,
             GatewayError::NoRoute(_) => StatusCode::NOT_FOUND,
             GatewayError::InvalidKey => StatusCode::UNAUTHORIZED,
             GatewayError::Malformed(_) => StatusCode::BAD_REQUEST,
@@ -106,6 +124,8 @@
             GatewayError::NoServer(_) | GatewayError::ServersFull => {
                 Some(Duration::from_millis(400))
             }
+            GatewayError::NoPath(_) => Some(PATH_RETRY_DELAY),
+            GatewayError::PassedOn { wait, .. } => *wait,
             GatewayError::ServersBackingOff { wait, .. }
             | GatewayError::ServersLimited { wait, .. } => Some(*wait),
             GatewayError::Starting => Some(Duration::from_secs(1)),
@@ -124,6 +144,8 @@
             GatewayError::ServersBackingOff { .. } => "backoff",
             GatewayError::ServersLimited { .. } => "limited",
             GatewayError::ServersFull => "full",
+            GatewayError::NoPath(_) => "no_path",
+            GatewayError::PassedOn { .. } => "passed_on",
             GatewayError::NotSentInTime => "late",
             GatewayError::Blocked(Suspect::Part(_)) => "part_blocked",
             GatewayError::Blocked(Suspect::Request(_)) => "request_blocked",
--- a/src/gateway/http_server.rs
+++ b/src/gateway/http_server.rs
@@ -3,6 +3,7 @@
 use super::Gateway;
 use super::GatewayError;
 use super::call::serve;
+use super::hop::{Hop, REFUSED};
 use super::response::{ResponseBody, error_response};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
@@ -24,7 +25,16 @@
 /// Extra buffer space for the request line, on top of the head size limit, in bytes.
 const REQUEST_LINE_BYTES: usize = 4 << 10;
 
-/// Counts the open connections of callers.
+/// Who opened a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another router, which passes calls on.
+    Router,
+}
+
+/// Counts the open connections of callers and of other routers.
 #[derive(Debug, Default)]
 pub struct CallerConnections {
     count: AtomicUsize,
@@ -53,7 +63,9 @@
         match accepted {
             Ok((stream, _)) => {
                 let (gateway, connections) = (gateway.clone(), connections.clone());
-                tokio::spawn(serve_connection(gateway, stream, connections, closing.clone()));
+                let served =
+                    serve_connection(gateway, stream, connections, closing.clone(), Origin::Caller);
+                tokio::spawn(served);
             }
             Err(error) => {
                 log::warn!("cannot accept a caller's connection: {error}");
@@ -63,18 +75,20 @@
     }
 }
 
-async fn serve_connection(
+/// Serves a connection until it ends, or until its current response once `closing` is set.
+pub async fn serve_connection(
     gateway: Arc<Gateway>,
     stream: TcpStream,
     connections: Arc<CallerConnections>,
     mut closing: watch::Receiver<bool>,
+    origin: Origin,
 ) {
     connections.count.fetch_add(1, Ordering::Relaxed);
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on a caller's connection: {error}");
     }
     let limits = gateway.route_index().map(|index| *index.limits()).unwrap_or_default();
-    let service = service_fn(|request| handle_request(gateway.clone(), request));
+    let service = service_fn(|request| handle_request(gateway.clone(), request, origin));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -120,10 +134,17 @@
 async fn handle_request(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
+    origin: Origin,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let id = gateway.format.log_id(request.headers()).to_owned();
     let started = Instant::now();
-    let served = serve(&gateway, request).await;
+    let hop = Hop::from_headers(request.headers()).filter(|_| origin == Origin::Router);
+    let served = match (origin, hop) {
+        (Origin::Router, None) => {
+            Err(GatewayError::Malformed("the header of a call passed on is missing".to_owned()))
+        }
+        _ => serve(&gateway, request, hop).await,
+    };
     record_outcome(&served, started);
     let mut response = served.unwrap_or_else(|error| {
         let revision = gateway.lease.revision().unwrap_or(0);
@@ -132,7 +153,11 @@
         log::info!(
             "call {id}: refused as {code}: {error} (revision {revision}, lease left {left_ms} ms)"
         );
-        error_response(&error, gateway.format.as_ref())
+        let mut refusal = error_response(&error, gateway.format.as_ref());
+        if origin == Origin::Router {
+            refusal.headers_mut().insert(REFUSED, HeaderValue::from_static(code));
+        }
+        refusal
     });
     if gateway.draining.load(Ordering::Relaxed) {
         let close = HeaderValue::from_static("close");
--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -1,7 +1,6 @@
 //! Keeps this router's lease alive; its configuration and VM list arrive with the renewals.
 
 use super::Gateway;
-use super::leader_loop::LeaderConnection;
 use super::limit_loop::{self, serve_waiting_calls, share_limits};
 use super::part_loop::{self, share_parts};
 use super::voters::Voters;
@@ -20,7 +19,6 @@
 use std::time::{Duration, Instant};
 use tarpc::client::RpcError;
 use tarpc::context;
-use tokio::sync::watch;
 
 /// Time allowed for a response on top of `renew`, for which the leader may hold the request.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
@@ -50,8 +48,6 @@
     /// The newest configuration that this router knows of and does not have yet.
     lacking: Option<LackingRevision>,
     had_lease: bool,
-    /// The connection on which the lease was renewed last.
-    leader: watch::Sender<LeaderConnection>,
 }
 
 /// Renews the lease in an endless loop.
@@ -66,9 +62,9 @@
         list_digest: 0,
         lacking: None,
         had_lease: false,
-        leader: watch::Sender::new(None),
     };
-    let (gateway, leader) = (lease_loop.gateway.clone(), lease_loop.leader.subscribe());
+    let gateway = lease_loop.gateway.clone();
+    let leader = gateway.helpers.leader.subscribe();
     tokio::spawn(share_parts(gateway.clone(), lease_loop.router_id(), leader.clone()));
     tokio::spawn(share_limits(gateway.clone(), lease_loop.router_id(), leader));
     tokio::spawn(serve_waiting_calls(gateway));
@@ -78,7 +74,7 @@
         lease_loop.gateway.update_started();
         if !renewed {
             lease_loop.voters.connection = None;
-            lease_loop.leader.send_replace(None);
+            lease_loop.gateway.helpers.leader.send_replace(None);
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
@@ -91,7 +87,7 @@
             return false;
         }
         let Some((address, peer)) = self.voters.connection.clone() else { return false };
-        let is_new = self.leader.borrow().is_none();
+        let is_new = self.gateway.helpers.leader.borrow().is_none();
         if is_new {
             self.learn_first(&peer).await;
         }
@@ -100,7 +96,7 @@
             false => self.renew_with_whole_state(address, &peer.client).await,
         };
         if is_new && matches!(renewed, Ok(true)) {
-            self.leader.send_replace(Some(peer));
+            self.gateway.helpers.leader.send_replace(Some(peer));
         }
         renewed.unwrap_or_else(|error| {
             log::info!("lease request to voter {address} failed: {error}");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,9 @@
 mod exchange;
 mod gateway_error;
 mod header_format;
+mod helper_list;
+mod hop;
+mod hop_server;
 mod http_server;
 mod leader_loop;
 mod lease_loop;
@@ -16,6 +19,8 @@
 mod limit_loop;
 mod part_loop;
 mod part_watch;
+mod pass_on;
+mod paths;
 mod request_hasher;
 mod response;
 mod response_timeout;
@@ -38,6 +43,7 @@
     ForwardedHead, HeaderFormat, NamedLimit, PromptPart, ReportedLoad, RequestHead, RequestedModel,
     ResponseHead, TokenCounts,
 };
+pub use hop::Hop;
 pub use request_hasher::RequestHasher;
 pub use route_index::{Access, RouteIndex};
 pub use run::run;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,5 +1,6 @@
 //! Startup and shutdown of a router-only daemon.
 
+use super::hop_server::serve_routers;
 use super::http_server::{CallerConnections, serve_connections};
 use super::lease_loop::keep_lease;
 use super::{Gateway, HeaderFormat};
@@ -33,6 +34,7 @@
     // This comes first: a signal without a handler would end the process.
     let signals = Signals::register()?;
     let listener = bind(settings.caller_address).await?;
+    let routers = bind(settings.peer_address).await?;
     let ready = match settings.readiness_address {
         Some(address) => Some(bind(address).await?),
         None => None,
@@ -47,6 +49,7 @@
     let data_centre = settings.data_centre.clone();
     journal.record(Event::DaemonStarted { data_centre, durable: false });
     let gateway = Arc::new(Gateway::new(settings, format, journal));
+    gateway.identity.get_or_init(|| identity.clone());
     tokio::spawn(keep_lease(gateway.clone(), identity));
     if let Some(ready) = ready {
         let gateway = gateway.clone();
@@ -54,6 +57,8 @@
     }
     let (close, closing) = watch::channel(false);
     let connections = Arc::new(CallerConnections::default());
+    let routers = serve_routers(gateway.clone(), routers, connections.clone(), closing.clone());
+    tokio::spawn(routers);
     tokio::spawn(serve_connections(gateway.clone(), listener, connections.clone(), closing));
     tokio::spawn(run_log_loop(gateway.journal.clone()));
     signals.wait_for_stop().await;
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -1,6 +1,7 @@
 use super::ReportedLoad;
 use super::leaving_servers::LeavingServers;
 use crate::name::{PoolName, VmName};
+use crate::policy::Helper;
 use crate::vms::{Vm, VmState};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, RwLock};
@@ -65,6 +66,19 @@
         Self { vm, inner: Arc::new(Mutex::new(inner)) }
     }
 
+    /// The state of a call that is passed on to another router, as if that were a server.
+    pub(super) fn of_helper(helper: &Helper, pool: &PoolName) -> Arc<Self> {
+        Arc::new(Self::new(Vm {
+            name: helper.vm.clone(),
+            address: helper.address,
+            data_centre: helper.data_centre.clone(),
+            pool: pool.clone(),
+            state: VmState::Live,
+            version: None,
+            slots: 0,
+        }))
+    }
+
     /// The state under a changed entry in the VM list. A server at another address is a new one.
     fn with_entry(&self, vm: &Vm) -> Option<Self> {
         let same = self.vm.name == vm.name && self.vm.address == vm.address;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,4 +1,6 @@
+use super::helper_list::HelperList;
 use super::part_watch::PartWatch;
+use super::paths::Paths;
 use super::response_timeout::SilenceTracker;
 use super::server_limits::ServerLimits;
 use super::server_table::ServerTable;
@@ -10,13 +12,14 @@
 use crate::event::Journal;
 use crate::group::since_start;
 use crate::name::{DataCentre, PoolName, VmName};
+use crate::peer::PeerIdentity;
 use crate::policy::PoolRetryBudget;
 use crate::route::RouterLease;
 use crate::settings::Settings;
 use crate::vms::Vm;
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, RwLock};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -26,6 +29,15 @@
 /// The most bytes of responses that are held at the same time, for routers with 160 MB of memory.
 const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
+/// Records of calls that were passed on to other routers, which nobody reads: they count there.
+#[derive(Debug, Default)]
+pub struct PassedOn {
+    /// Their results.
+    pub tallies: Arc<Tallies>,
+    /// Their runs.
+    pub runs: Arc<PartWatch>,
+}
+
 /// A router of configured routes.
 pub struct Gateway {
     /// Reads and writes the headers of callers and backend servers.
@@ -46,6 +58,14 @@
     pub sessions: Sessions,
     /// Call results by version, reported to the voters.
     pub tallies: Arc<Tallies>,
+    /// Whether the servers of each pool can be reached.
+    pub paths: Paths,
+    /// Other routers, for calls to pools that cannot be reached.
+    pub helpers: HelperList,
+    /// What is recorded of calls that were passed on; it counts at the other router only.
+    pub passed_on: PassedOn,
+    /// Who this daemon is, for other routers; set when it starts.
+    pub identity: OnceLock<PeerIdentity>,
     /// Parts of prompts and requests that end servers.
     pub parts: Arc<PartWatch>,
     /// Gives each request its id.
@@ -78,6 +98,10 @@
             limits: Arc::default(),
             sessions: Sessions::new(settings.fleet_limits.session_timeout * 2),
             tallies: Arc::default(),
+            paths: Paths::default(),
+            helpers: HelperList::default(),
+            passed_on: PassedOn::default(),
+            identity: OnceLock::new(),
             parts: Arc::default(),
             hasher: RequestHasher::new(&settings.cluster_secret),
             buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -96,7 +96,16 @@
         let stalled = || io::Error::new(io::ErrorKind::TimedOut, "the stream has stalled");
         let left = self.stall_timeout().saturating_sub(self.waited);
         let started = Instant::now();
-        let read = tokio::time::timeout(left, self.read_blocks()).await;
+        let (gateway, may_resume) =
+            (self.call.gateway.clone(), self.call.route.kind.is_retry_safe());
+        let path = self.exchange.as_ref().and_then(|exchange| exchange.path());
+        let read = tokio::select! {
+            biased;
+            read = tokio::time::timeout(left, self.read_blocks()) => read,
+            () = Exchange::until_path_lost(path, &gateway), if may_resume => {
+                return Err(io::Error::other("no server of the pool can be reached"));
+            }
+        };
         // Only the time spent waiting for the server counts, not that of a slow caller.
         self.waited += started.elapsed();
         if !self.splitter.is_filler() {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 mod handshake;
+mod helper_request;
 mod identity;
 mod limit_report;
 mod link;
@@ -18,6 +19,7 @@
 
 pub use cluster::{Cluster, Unavailable};
 pub use handshake::{ConnectedPeer, HandshakeError, accept, connect};
+pub use helper_request::{HelperRequest, HelperResponse};
 pub use identity::PeerIdentity;
 pub use limit_report::{LimitReport, LimitResponse};
 pub use link::{Dialed, Link, dial};
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -19,6 +19,9 @@
     /// Since this version, a leader accepts a route table only once the leases under older ones end
     /// soon enough.
     pub const LEASED_CHANGES: Self = Self(5);
+    /// Since this version, a leader names routers to which calls can be passed on, and routers take
+    /// such calls.
+    pub const HELPERS: Self = Self(6);
     /// The version of this build.
-    pub const CURRENT: Self = Self::LEASED_CHANGES;
+    pub const CURRENT: Self = Self::HELPERS;
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -3,9 +3,9 @@
 #![allow(missing_docs, reason = "the macro generates undocumented items")]
 
 use super::{
-    EventResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
-    OperatorRequest, OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest,
-    RenewResponse, SubmitResponse, SuspectReport, SuspectResponse,
+    EventResponse, HelperRequest, HelperResponse, LeaseRequest, LeaseResponse, LimitReport,
+    LimitResponse, NodeStatus, OperatorRequest, OperatorResponse, PartReport, PartResponse,
+    PeerIdentity, RenewRequest, RenewResponse, SubmitResponse, SuspectReport, SuspectResponse,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -39,4 +39,7 @@
     async fn share_limits(report: LimitReport) -> LimitResponse;
     /// As `share_parts`, of parts of prompts and of whole requests. Needs protocol version 4.
     async fn share_suspects(report: SuspectReport) -> SuspectResponse;
+    /// Returns routers to which calls can be passed on, if this daemon leads the control group. Needs
+    /// protocol version 6.
+    async fn find_helpers(request: HelperRequest) -> HelperResponse;
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 //! choice, admission and retry budgets.
 
 mod choose;
+mod choose_helpers;
 mod circuit_breaker;
 mod concurrency_limit;
 mod escalation;
@@ -15,6 +16,7 @@
 mod own_share;
 mod paced_bucket;
 mod part_suspicion;
+mod path_monitor;
 mod pick_server;
 mod pool_retry_budget;
 mod pool_rollout;
@@ -38,6 +40,7 @@
 mod weights;
 
 pub use choose::{ChooseError, ShareDraw, VersionChoice, choose, rollout_point};
+pub use choose_helpers::{Helper, choose_helpers};
 pub use circuit_breaker::CircuitBreaker;
 pub use concurrency_limit::ConcurrencyLimit;
 pub use escalation::accepts_answer;
@@ -54,6 +57,7 @@
 pub use own_share::OwnShare;
 pub use paced_bucket::PacedBucket;
 pub use part_suspicion::{Convict, PartSuspicion, RunEnd};
+pub use path_monitor::{MIN_SILENCE, PathMonitor, PathState};
 pub use pick_server::{BalancePolicy, ServerCandidate, pick_server};
 pub use pool_retry_budget::PoolRetryBudget;
 pub use pool_rollout::{is_canary, next_pool_rollout, rollback_reason, rollout_evidence};
