Keep the platform's words out of a test of the library

Cause: platform/tests/boundary.rs found a constant named for a bound of the platform.

Change: it has the library's word.

--- a/tests/config_in_time/day.rs
+++ b/tests/config_in_time/day.rs
@@ -5,7 +5,7 @@
 
 /// The users' bounds, in ms.
 pub const APPLY_MS: u64 = 2_000;
-pub const REVOKE_MS: u64 = 5_000;
+pub const REVOCATION_MS: u64 = 5_000;
 
 /// What happens on a day.
 #[derive(Debug, Clone)]
@@ -78,7 +78,7 @@
 /// The limits that leader and routers compute their leases from.
 pub fn limits() -> FleetLimits {
     FleetLimits {
-        revocation_bound: Duration::from_millis(REVOKE_MS),
+        revocation_bound: Duration::from_millis(REVOCATION_MS),
         apply_bound: Duration::from_millis(APPLY_MS),
         stop_timeout: Duration::from_secs(8),
         session_timeout: Duration::from_secs(5),
