Read the entries of a VM list one by one, whatever they hold

What callers saw, at other operators: one odd entry by another writer, and the list is not followed any more.

A page was parsed as a whole, so an entry that is nested too deeply or has a number out of range made the page unreadable; the previous list stayed in use, servers that start were never used and those that leave still were. The product's own list had the same fault, and for ports out of range as well.

Change: entries are cut out unparsed and parsed one by one; one that cannot be read is left out.

--- a/src/vms/vm_list.rs
+++ b/src/vms/vm_list.rs
@@ -3,6 +3,7 @@
 use crate::event::{Event, Journal};
 use crate::name::VmName;
 use crate::settings::VmListSource;
+use serde_json::value::RawValue;
 use std::collections::BTreeSet;
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
@@ -76,5 +77,17 @@
         VmListSource::File(path) => tokio::fs::read(path).await.ok()?.into(),
         VmListSource::Http(address) => connections.get(*address, "/vms").await?,
     };
-    serde_json::from_slice(&bytes).ok()
+    parse_list(&bytes)
+}
+
+/// The entries of a list; `None` if it is no list at all. Entries that cannot be read are left out: one
+/// of another writer must not hide the others.
+fn parse_list(bytes: &[u8]) -> Option<Vec<Vm>> {
+    let text = String::from_utf8_lossy(bytes);
+    let entries: Vec<&RawValue> = serde_json::from_str(&text).ok()?;
+    let parse = |entry: &&RawValue| {
+        let parsed = serde_json::from_str(entry.get());
+        parsed.inspect_err(|error| log::warn!("an entry of the VM list is left out: {error}")).ok()
+    };
+    Some(entries.iter().filter_map(parse).collect())
 }
