Resume a stream only in a stream of the same kind

What callers saw, at other operators: an error's text in the middle of a stream that had been broken off.

Cause: here for an answer with status 200 that is no stream of events: its body was passed on behind the events. An answer with an error status ended the stream visibly, without a try at another server.

Change: a stream goes on only in a response of the same media type; any other counts as a failed attempt, and the next server is tried while attempts, budget and deadline allow it.

--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -32,6 +32,8 @@
     /// The head of the first server's response; it is kept when the stream is resumed at another
     /// server.
     head: Response<()>,
+    /// The media type that this response names.
+    media: Option<String>,
     exchange: Option<Box<Exchange>>,
     splitter: EventSplitter,
     /// Counts the bytes in the splitter towards the process's budget.
@@ -54,11 +56,12 @@
         let mut head = Response::new(());
         *head.status_mut() = exchange.response.status();
         *head.headers_mut() = exchange.response.headers().clone();
+        let media = media_type(&exchange.response).map(str::to_owned);
         let (share, timeout) = (exchange.buffers.share(), exchange.timeout);
         let exchange = Some(exchange);
         let waited = Duration::ZERO;
         let mut relay =
-            Self { call, head, exchange, splitter, share, first: None, waited, history };
+            Self { call, head, media, exchange, splitter, share, first: None, waited, history };
         let call = relay.call.clone();
         match call.wait_for_response(timeout, relay.read_first_event()).await {
             Ok(first) => relay.first = first.map_err(|error| error.to_string())?,
@@ -217,14 +220,22 @@
         }
         let (call, last_id) = (self.call.clone(), self.splitter.last_id());
         log::info!("call {}: stream interrupted after event {last_id:?}: {error}", call.log_id());
-        let exchange =
-            call.next_exchange(&mut self.history, last_id).await.map_err(io::Error::other)?;
-        if !exchange.response.status().is_success() {
-            return Err(io::Error::other("the server did not resume the stream"));
+        loop {
+            let exchange =
+                call.next_exchange(&mut self.history, last_id).await.map_err(io::Error::other)?;
+            if self.continues_in(&exchange.response) {
+                self.splitter.resume();
+                self.exchange = Some(exchange);
+                return Ok(());
+            }
+            self.history.last_failure = Some("the server did not resume the stream".to_owned());
         }
-        self.splitter.resume();
-        self.exchange = Some(exchange);
-        Ok(())
+    }
+
+    /// Whether the stream goes on in this response. Anything but a stream like the one that was
+    /// interrupted, such as an error, would end up in the middle of what the caller reads.
+    fn continues_in<B>(&self, response: &Response<B>) -> bool {
+        response.status().is_success() && media_type(response) == self.media.as_deref()
     }
 }
 
