--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -1,4 +1,5 @@
-use super::handle::{Envelope, GroupOptions, GroupStatus, Input, Shared, SubmitError};
+use super::shared::{Envelope, GroupOptions, GroupStatus, Input, Shared, SubmitError};
+use super::write_retry::{abort_process, retry_until_written};
 use super::{GroupId, ReplicatedState, since_start};
 use crate::consensus::{Entry, Log, Message, Output, Payload, ProposeError, Raft, Role, Snapshot};
 use crate::event::{Event, Journal};
@@ -25,8 +26,6 @@
 
 /// Delay after a failed attempt to store a snapshot.
 const SNAPSHOT_RETRY_DELAY: Duration = Duration::from_secs(2);
-/// Delay before a write that failed, for example on a full disk, is retried.
-const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// A proposed command whose caller waits for the outcome.
 struct PendingCommand {
@@ -368,35 +367,3 @@
         shared.state.write().expect("state lock poisoned");
     state.restore(&snapshot.data).expect("failed to restore a snapshot that passed its checksum");
 }
-
-/// Retries a write until it succeeds, for example while the disk is full. Meanwhile this member
-/// sends no messages, so other members take over and it acknowledges nothing that is not stored.
-fn retry_until_written<F>(store: Option<&mut GroupStore>, mut write: F)
-where
-    F: FnMut(&mut GroupStore) -> Result<(), StorageError>,
-{
-    let Some(store) = store else { return };
-    let mut failures = 0;
-    loop {
-        match write(store) {
-            Ok(()) => break,
-            Err(error @ StorageError::NotWritten { .. }) => {
-                if failures == 0 {
-                    log::error!("storage write failed, retrying until it succeeds: {error}");
-                }
-                failures += 1;
-                std::thread::sleep(WRITE_RETRY_DELAY);
-            }
-            Err(error) => abort_process(&error),
-        }
-    }
-    if failures > 0 {
-        log::info!("storage write succeeded after {failures} failed attempts");
-    }
-}
-
-/// Aborts the process, as the contents of the disk are unknown after a failed write or sync.
-fn abort_process(error: &StorageError) -> ! {
-    log::error!("storage failed, aborting the process: {error}");
-    std::process::abort();
-}
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -5,9 +5,12 @@
 mod group_id;
 mod handle;
 mod replicated_state;
+mod shared;
 mod time;
+mod write_retry;
 
 pub use group_id::GroupId;
-pub use handle::{Envelope, Group, GroupOptions, GroupStatus, SubmitError};
+pub use handle::Group;
 pub use replicated_state::{ReplicatedState, StateDecodeError};
+pub use shared::{Envelope, GroupOptions, GroupStatus, SubmitError};
 pub use time::since_start;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of a daemon: an INI file that is read once at startup and validated as a whole.
 
+mod checks;
 mod fleet_limits;
 mod issue;
 mod key;
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -6,7 +6,7 @@
 use ini::Ini;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 const MAX_NAME_BYTES: usize = 64;
@@ -14,17 +14,7 @@
 const ADDRESS_FORMAT: &str = "an IP address and port, such as 10.0.0.5:8080";
 /// Placeholder for an address that is missing, invalid or not needed by the role.
 const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
-const ADDRESS_LIST_FORMAT: &str = "IP addresses and ports, separated by commas";
-/// A lease must last for at least this many renewal intervals, so that one lost message does not
-/// end it.
-const MIN_RENEWALS_PER_LEASE: u32 = 3;
-/// A lease must last for at least this many election timeouts: an election starts after up to two
-/// of them and then takes a few round trips.
-const MIN_ELECTIONS_PER_LEASE: u32 = 3;
-/// An election timeout must last for at least this many heartbeat intervals, so that one late
-/// heartbeat does not start an election.
-const MIN_HEARTBEATS_PER_ELECTION: u32 = 3;
-
+pub(super) const ADDRESS_LIST_FORMAT: &str = "IP addresses and ports, separated by commas";
 /// Reads typed values from an INI file and collects all errors instead of stopping at the first.
 ///
 /// A value that is invalid, or required but missing, is reported and replaced by its default or a
@@ -47,7 +37,7 @@
         Ok(Self { file: file.to_owned(), ini, known_keys: BTreeMap::new(), issues: Vec::new() })
     }
 
-    fn add_issue(&mut self, section: &str, key: &str, text: &str) {
+    pub(super) fn add_issue(&mut self, section: &str, key: &str, text: &str) {
         let issue = issue(&self.file, section, key, text);
         self.issues.push(issue);
     }
@@ -290,79 +280,6 @@
         }
     }
 
-    /// Reports listen addresses that are equal, unless the operating system picks the port (0).
-    pub fn check_ports(&mut self, ports: &[SocketAddr]) {
-        let names = ["callers", "operators", "peers"];
-        for (i, a) in ports.iter().enumerate() {
-            for (b, name) in ports.iter().zip(names).skip(i + 1) {
-                if a == b && a.port() != 0 {
-                    let text =
-                        format!("{b} is also the address of '{}'; give another port", names[i]);
-                    self.add_issue("listen", name, &text);
-                }
-            }
-        }
-    }
-
-    /// Checks that the folder, or its nearest existing ancestor, is writable by writing and
-    /// removing a probe file. Creates no folder.
-    pub fn check_folder(&mut self, folder: Option<&Path>) {
-        let Some(folder) = folder else { return };
-        let Some(existing) = folder.ancestors().find(|path| path.exists()) else {
-            let text = format!(
-                "{} cannot be created: no parent folder exists; give another path",
-                folder.display()
-            );
-            self.add_issue("vm", "data_folder", &text);
-            return;
-        };
-        let probe = existing.join(format!(".write-probe-{:016x}", rand::random::<u64>()));
-        let tried = std::fs::write(&probe, b"").and_then(|()| std::fs::remove_file(&probe));
-        if let Err(cause) = tried {
-            let text = format!(
-                "{} cannot be written: {cause}; allowed: a folder that this user can write",
-                folder.display()
-            );
-            self.add_issue("vm", "data_folder", &text);
-        }
-    }
-
-    pub fn check_seeds(&mut self, seeds: &[SocketAddr]) {
-        if seeds.is_empty() {
-            let text =
-                format!("required by a router to find the voters; give {ADDRESS_LIST_FORMAT}");
-            self.add_issue("cluster", "seeds", &text);
-        }
-    }
-
-    /// Checks that a lease survives the loss of one renewal.
-    pub fn check_lease(&mut self, lease: Duration, renew: Duration) {
-        if lease >= renew * MIN_RENEWALS_PER_LEASE {
-            return;
-        }
-        let text = format!("must be at least {MIN_RENEWALS_PER_LEASE} times 'renew'");
-        self.add_issue("lease", "duration", &text);
-    }
-
-    /// Checks that leases survive a change of leader and that elections tolerate a late heartbeat.
-    pub fn check_election_timing(
-        &mut self,
-        lease: Duration,
-        election: Duration,
-        heartbeat: Duration,
-    ) {
-        if lease < election * MIN_ELECTIONS_PER_LEASE {
-            let text = format!(
-                "must be at least {MIN_ELECTIONS_PER_LEASE} times 'election' in [consensus], so that leases survive a leader failure"
-            );
-            self.add_issue("lease", "duration", &text);
-        }
-        if election < heartbeat * MIN_HEARTBEATS_PER_ELECTION {
-            let text = format!("must be at least {MIN_HEARTBEATS_PER_ELECTION} times 'heartbeat'");
-            self.add_issue("consensus", "election", &text);
-        }
-    }
-
     /// Returns the settings, or all errors that were found.
     pub fn finish(mut self, settings: Settings) -> Result<Settings, SettingsErrors> {
         self.check_sections();
