Keep together to what servers that say they are brittle can turn away

Cause: nothing read Server-Brittle, and routers turned to full servers each by itself. The class is that of named limits: a bound of the whole fleet that no part of it shares.

Change: a server that says that it is brittle and turns a call away counts as one that names a limit of half of what it can turn away, until it has turned none away for a second; routers share that as they share named limits, and it ends by the same slow start. No mechanism of its own.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::Gateway;
 use super::accepted_call::Call;
+use super::brittle_servers::named_limit;
 use super::hop::HOP;
 use super::part_watch::RunRecord;
 use super::paths::PoolPath;
@@ -248,7 +249,8 @@
         }
         // Another server may have taken over the address.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            self.gateway.limits.hear(&server.vm.name, head.limit, sent_at);
+            let limit = named_limit(&server, &head, response.status());
+            self.gateway.limits.hear(&server.vm.name, limit, sent_at);
         }
         let declines = response.status() == StatusCode::SERVICE_UNAVAILABLE
             || response.status() == StatusCode::TOO_MANY_REQUESTS;
--- a/src/gateway/header_format.rs
+++ b/src/gateway/header_format.rs
@@ -101,6 +101,9 @@
     pub retry_after: Option<Duration>,
     /// What the server says of the rate of requests that it takes.
     pub limit: NamedLimit,
+    /// The calls that the server can turn away in a second for want of room before it falls; `None` if
+    /// it does not say that it is brittle.
+    pub brittle: Option<f64>,
 }
 
 /// What a response says of the rate of requests that its server takes from all routers together.
@@ -111,6 +114,8 @@
     Absent,
     /// Something that is not a rate; what the server said before holds.
     Unreadable,
+    /// Nothing new; what the server said before holds.
+    Unchanged,
     /// This many requests a second.
     PerSecond(f64),
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod accepted_call;
 mod attempts;
+mod brittle_servers;
 mod call;
 mod event_splitter;
 mod exchange;
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -145,6 +145,7 @@
                 );
                 return;
             }
+            NamedLimit::Unchanged => return,
             NamedLimit::Absent if !self.is_any() => return,
             NamedLimit::Absent => None,
             NamedLimit::PerSecond(limit) => Some(limit),
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -38,6 +38,8 @@
     failure_rate: f64,
     pause_count: u32,
     paused_until: Option<Instant>,
+    /// When the server last turned a call away for want of room.
+    turned_away_at: Option<Instant>,
     /// Until when the server has asked to be sent nothing.
     backoff_until: Option<Instant>,
     cached_parts: HashMap<u64, Instant>,
@@ -117,6 +119,17 @@
         inner.backoff_until = inner.backoff_until.max(Some(until));
     }
 
+    /// Records that the server turned a call away for want of room.
+    pub fn record_turned_away(&self) {
+        self.inner.lock().expect("server lock").turned_away_at = Some(Instant::now());
+    }
+
+    /// Whether the server turned a call away for want of room in the last `span`.
+    pub fn has_turned_away(&self, span: Duration) -> bool {
+        let turned_away_at = self.inner.lock().expect("server lock").turned_away_at;
+        turned_away_at.is_some_and(|at| at.elapsed() < span)
+    }
+
     /// Prompt tokens that are not expected to be in the server's cache. Caching works by prefix:
     /// parts after the first uncached one count in full.
     pub fn uncached_tokens(&self, parts: &[(u64, u32)]) -> u64 {
