Say no_path only where the path is lost

Cause: read after the fact: a call that met one server that could not be reached, and no other with room, was refused as having no path.

Change: such a call keeps its error if no other router takes it.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -127,26 +127,25 @@
     async fn next_target(&self, history: &AttemptHistory) -> Result<Target, GatewayError> {
         let path = self.gateway.paths.pool(&self.pool);
         if path.is_lost() {
-            return self.next_helper(history).await;
+            let helper = self.next_helper(history).await;
+            return helper.ok_or_else(|| match self.final_error(history) {
+                GatewayError::NoServer(pool) => GatewayError::NoPath(pool),
+                error => error,
+            });
         }
         match self.next_server(history).await {
             Ok(selected) => Ok(Target::Server(selected)),
             Err(error) if history.unreached == 0 => Err(error),
-            Err(_) => self.next_helper(history).await,
+            Err(error) => self.next_helper(history).await.ok_or(error),
         }
     }
 
     /// Selects another router for the next attempt. A call is passed on once only.
-    async fn next_helper(&self, history: &AttemptHistory) -> Result<Target, GatewayError> {
-        let is_passed_on = self.hop.is_some();
-        let picked = match is_passed_on || history.servers.len() >= MAX_TARGETS_TRIED {
-            true => None,
-            false => self.gateway.helpers.pick(&self.gateway, &history.servers).await,
-        };
-        picked.map(Target::Router).ok_or_else(|| match self.final_error(history) {
-            GatewayError::NoServer(pool) => GatewayError::NoPath(pool),
-            error => error,
-        })
+    async fn next_helper(&self, history: &AttemptHistory) -> Option<Target> {
+        if self.hop.is_some() || history.servers.len() >= MAX_TARGETS_TRIED {
+            return None;
+        }
+        self.gateway.helpers.pick(&self.gateway, &history.servers).await.map(Target::Router)
     }
 
     /// The error for a call that other routers refuse. What they refuse they have not run.
