--- a/src/daemon/helpers.rs
+++ b/src/daemon/helpers.rs
@@ -20,9 +20,18 @@
     inner: Mutex<Inner>,
 }
 
+/// Where a daemon accepts connections.
+#[derive(Debug)]
+struct Place {
+    data_centre: DataCentre,
+    address: SocketAddr,
+    /// Whether it is a daemon of role router, which takes calls there.
+    takes_calls: bool,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
-    places: BTreeMap<RouterId, (DataCentre, SocketAddr)>,
+    places: BTreeMap<RouterId, Place>,
     cut: BTreeMap<RouterId, (Instant, Vec<PoolName>)>,
 }
 
@@ -33,7 +42,16 @@
         // A VM runs one process at a time.
         inner.places.retain(|router, _| router.vm != peer.vm);
         let router = RouterId { vm: peer.vm.clone(), run: peer.run };
-        inner.places.insert(router, (peer.data_centre.clone(), peer.address));
+        let (data_centre, address) = (peer.data_centre.clone(), peer.address);
+        inner.places.insert(router, Place { data_centre, address, takes_calls: false });
+    }
+
+    /// Records that a daemon is of role router.
+    pub fn record_router(&self, router: &RouterId) {
+        let mut inner = self.inner.lock().expect("helpers lock");
+        if let Some(place) = inner.places.get_mut(router) {
+            place.takes_calls = true;
+        }
     }
 
     /// Records that a router is cut off, and chooses its helpers among the `live` routers.
@@ -43,21 +61,22 @@
         let now = Instant::now();
         cut.insert(request.router.clone(), (now, request.lost.clone()));
         cut.retain(|_, (asked_at, _)| now.duration_since(*asked_at) < CUT_TTL);
-        let Some((own, _)) = places.get(&request.router) else { return Vec::new() };
+        let Some(asking) = places.get(&request.router) else { return Vec::new() };
+        let own = &asking.data_centre;
         let is_cut = |router: &&RouterId| {
             let lost = cut.get(router).map_or(&[][..], |(_, lost)| lost);
             lost.iter().any(|pool| request.lost.contains(pool))
         };
-        let place = |router: &RouterId| places.get(router).map(|place| (router.clone(), place));
-        let sound = live.iter().filter(|router| !is_cut(router)).filter_map(place);
-        let sound = sound.map(|(router, (data_centre, address))| Helper {
-            vm: router.vm,
-            data_centre: data_centre.clone(),
-            address: *address,
-        });
-        let in_own = |router: &&RouterId| places.get(router).is_some_and(|(dc, _)| dc == own);
-        let cut_near = cut.keys().filter(in_own).count();
-        choose_helpers(own, cut_near, sound.collect(), &mut rand::rng())
+        let helper = |router: &RouterId| {
+            let place = places.get(router).filter(|place| place.takes_calls)?;
+            let (data_centre, address) = (place.data_centre.clone(), place.address);
+            Some(Helper { vm: router.vm.clone(), data_centre, address })
+        };
+        let sound = live.iter().filter(|router| !is_cut(router)).filter_map(helper).collect();
+        let is_near =
+            |router: &&RouterId| places.get(router).is_some_and(|place| place.data_centre == *own);
+        let cut_near = cut.keys().filter(is_near).count();
+        choose_helpers(own, cut_near, sound, &mut rand::rng())
     }
 }
 
--- a/src/daemon/renewals.rs
+++ b/src/daemon/renewals.rs
@@ -14,6 +14,7 @@
     pub async fn renew(&self, request: RenewRequest) -> RenewResponse {
         self.journal.observe(request.stamp);
         self.record_revision(&request.router, request.revision);
+        self.helpers.record_router(&request.router);
         let term = self.cluster.control().status().term;
         self.pools.record_report(term, &request.router, &request.tallies);
         self.mark_leaving(&request);
