Review case 1: a planned replacement and one lost disk end the control group

Script: the successor has run for 8 s, the old machine gets SIGTERM, one machine loses its disk: no leader for good.

--- a/review/stub/common.rs
+++ b/review/stub/common.rs
@@ -204,77 +204,132 @@
     text
 }
 
-/// A small deployment: three machines of the core and some machines that take requests.
+/// A small deployment: three machines of the core, machines that take requests, and machines of the core
+/// that are added later.
 pub struct Deployment {
     pub routers: Vec<SocketAddr>,
     pub operators: Vec<SocketAddr>,
     folder: PathBuf,
-    processes: Vec<Process>,
+    list: SocketAddr,
+    processes: BTreeMap<u8, Process>,
 }
 
+fn ip(host: u8) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 100 + host, high, low.max(1))
+}
+
+fn control(host: u8) -> SocketAddr {
+    SocketAddr::new(ip(host).into(), 28_229)
+}
+
+/// The machines of the core at the start.
+const CORE: u8 = 3;
+/// The first machine that takes requests.
+const FIRST_ROUTER: u8 = 11;
+
 impl Deployment {
     pub fn start(router_count: u8, list: SocketAddr) -> Self {
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        let ip = |host: u8| Ipv4Addr::new(127, 100 + host, high, low.max(1));
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the temporary folder can be created");
-        let template = fs::read_to_string("deploy/settings.ini").expect("the template");
-        let control = |host: u8| SocketAddr::new(ip(host).into(), 28_229);
-        let seeds: Vec<String> = (1..=3).map(|host| control(host).to_string()).collect();
         let mut deployment = Self {
             routers: Vec::new(),
-            operators: (1..=3).map(control).collect(),
+            operators: (1..=CORE).map(control).collect(),
             folder,
-            processes: Vec::new(),
+            list,
+            processes: BTreeMap::new(),
         };
-        for host in 1..=3 + router_count {
-            let is_router = host > 3;
-            let name = format!("node-{host}");
-            let mut values: BTreeMap<&str, String> = [
-                ("node_name", name.clone()),
-                ("zone", ["perth-a", "perth-b", "perth-c"][usize::from(host) % 3].to_owned()),
-                ("role", if is_router { "router" } else { "voter" }.to_owned()),
-                ("ip", ip(host).to_string()),
-                ("internal_port_range.0", "27340".to_owned()),
-                ("internal_port_range.1", "27355".to_owned()),
-                ("seeds", seeds.join(",")),
-                ("bootstrap", "true".to_owned()),
-                ("fault_tolerance.machines", "1".to_owned()),
-                ("cloud_api.address", list.to_string()),
-                ("bounds.revoke_ms", "5000".to_owned()),
-                ("bounds.config_apply_ms", "2000".to_owned()),
-                ("bounds.grace_s", "8".to_owned()),
-                ("bounds.session_s", "5".to_owned()),
-                ("bounds.retry_budget_ratio", "0.9".to_owned()),
-                ("bounds.budget_window_s", "10".to_owned()),
-                ("bounds.retry_budget_extra", "52".to_owned()),
-                ("bounds.exposure_share", "0.15".to_owned()),
-            ]
-            .into();
-            if is_router {
-                let front = SocketAddr::new(ip(host).into(), 28_227);
-                values.insert("listen.frontend", front.to_string());
-                values.insert("listen.readiness", format!("{}:28220", ip(host)));
-                deployment.routers.push(front);
-            } else {
-                values.insert("listen.control", control(host).to_string());
-                values.insert("data_dir", format!("{}/{name}", deployment.folder.display()));
-            }
-            let settings = deployment.folder.join(format!("{name}.ini"));
-            fs::write(&settings, render(&template, &values)).expect("settings can be written");
-            let output = File::create(deployment.folder.join(format!("{name}.log"))).unwrap();
-            let child = Command::new("target/release/samphireshift-platform")
-                .env("SAMPHIRESHIFT_SETTINGS", &settings)
-                .stdin(Stdio::null())
-                .stdout(output)
-                .stderr(Stdio::null())
-                .spawn()
-                .expect("the program of the deploy file starts");
-            deployment.processes.push(Process(child));
+        (1..=CORE).for_each(|host| deployment.start_node(host, true));
+        for host in FIRST_ROUTER..FIRST_ROUTER + router_count {
+            deployment.routers.push(SocketAddr::new(ip(host).into(), 28_227));
+            deployment.start_node(host, true);
         }
         deployment
     }
 
+    /// Starts the process of a machine with settings as DEPLOY.md tells.
+    pub fn start_node(&mut self, host: u8, bootstrap: bool) {
+        let is_router = host >= FIRST_ROUTER;
+        let name = format!("node-{host}");
+        let seeds: Vec<String> = (1..=CORE).map(|host| control(host).to_string()).collect();
+        let zone = ["perth-a", "perth-b", "perth-c"][usize::from(host) % 3];
+        let role = if is_router { "router" } else { "voter" };
+        let mut values: BTreeMap<&str, String> = [
+            ("node_name", name.as_str()),
+            ("zone", zone),
+            ("role", role),
+            ("internal_port_range.0", "27340"),
+            ("internal_port_range.1", "27355"),
+            ("fault_tolerance.machines", "1"),
+            ("bounds.revoke_ms", "5000"),
+            ("bounds.config_apply_ms", "2000"),
+            ("bounds.grace_s", "8"),
+            ("bounds.session_s", "5"),
+            ("bounds.retry_budget_ratio", "0.9"),
+            ("bounds.budget_window_s", "10"),
+            ("bounds.retry_budget_extra", "52"),
+            ("bounds.exposure_share", "0.15"),
+        ]
+        .map(|(name, value)| (name, value.to_owned()))
+        .into();
+        values.insert("ip", ip(host).to_string());
+        values.insert("seeds", seeds.join(","));
+        values.insert("bootstrap", bootstrap.to_string());
+        values.insert("cloud_api.address", self.list.to_string());
+        if is_router {
+            values.insert("listen.frontend", format!("{}:28227", ip(host)));
+            values.insert("listen.readiness", format!("{}:28220", ip(host)));
+        } else {
+            values.insert("listen.control", control(host).to_string());
+            values.insert("data_dir", self.data(host).display().to_string());
+        }
+        let template = fs::read_to_string("deploy/settings.ini").expect("the template");
+        let settings = self.folder.join(format!("{name}.ini"));
+        fs::write(&settings, render(&template, &values)).expect("settings can be written");
+        let log = self.folder.join(format!("{name}.log"));
+        let output = File::options().create(true).append(true).open(log).unwrap();
+        let child = Command::new("target/release/samphireshift-platform")
+            .env("SAMPHIRESHIFT_SETTINGS", &settings)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program of the deploy file starts");
+        self.processes.insert(host, Process(child));
+    }
+
+    fn data(&self, host: u8) -> PathBuf {
+        self.folder.join(format!("data-{host}"))
+    }
+
+    /// Adds an empty machine of the core, which the operator then knows.
+    pub fn add_core(&mut self, host: u8) {
+        self.start_node(host, false);
+        self.operators.push(control(host));
+    }
+
+    /// Sends SIGTERM to a machine of the core and waits until its process has ended. It stays away.
+    pub fn remove_core(&mut self, host: u8, limit: Duration) -> bool {
+        let Some(mut process) = self.processes.remove(&host) else { return false };
+        self.operators.retain(|operator| *operator != control(host));
+        let id = process.0.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if matches!(process.0.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
+    /// A machine of the core loses power and its disk.
+    pub fn lose_disk(&mut self, host: u8) {
+        self.processes.remove(&host);
+        let _ = fs::remove_dir_all(self.data(host));
+    }
+
     /// Sends an order until it gets a clear answer, to one machine of the core after the other.
     pub fn order(&self, method: &str, path: &str, body: &str) -> Option<Message> {
         let request = format!(
@@ -321,3 +376,29 @@
         }
     }
 }
+
+/// A replica that answers each request at once. Returns its address.
+pub fn serve_plain(name: &'static str, record: Record) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let record = record.clone();
+            thread::spawn(move || {
+                let mut buffer = Vec::new();
+                while let Some(request) = read_message(&mut stream, &mut buffer) {
+                    let id = request.header("x-attempt-id").unwrap_or("").to_owned();
+                    record.say(&format!("replica {name} runs request {id}"));
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n\
+                         X-Response-Signature: {name}.{id}\r\nContent-Length: 2\r\n\r\nok"
+                    );
+                    if stream.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
--- a/review/stub/main.rs
+++ b/review/stub/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod key_moved;
+mod lost_while_replaced;
 
 use common::Record;
 use std::process::ExitCode;
@@ -20,6 +21,7 @@
     let trouble = trouble != "0";
     let verdict = match case.as_str() {
         "key-moved" => key_moved::play(&record, trouble),
+        "lost-while-replaced" => lost_while_replaced::play(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     match verdict {
