--- a/review/stub/common.rs
+++ b/review/stub/common.rs
@@ -313,7 +313,7 @@
         let Some(mut process) = self.processes.remove(&host) else { return false };
         self.operators.retain(|operator| *operator != control(host));
         let id = process.0.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &id]).status();
+        let _ = Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status();
         let until = Instant::now() + limit;
         while Instant::now() < until {
             if matches!(process.0.try_wait(), Ok(Some(_))) {
