--- a/review/stub/main.rs
+++ b/review/stub/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod key_moved;
 mod lost_while_replaced;
+mod sound_streams_cut;
 
 use common::Record;
 use std::process::ExitCode;
@@ -21,6 +22,7 @@
     let trouble = trouble != "0";
     let verdict = match case.as_str() {
         "key-moved" => key_moved::play(&record, trouble),
+        "sound-streams-cut" => sound_streams_cut::play(&record, trouble),
         "lost-while-replaced" => lost_while_replaced::play(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
