--- a/review/stub/common.rs
+++ b/review/stub/common.rs
@@ -200,7 +200,10 @@
     for (name, value) in values {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
-    assert!(!text.contains("{{"), "the template has a field that this stand-in does not know: {text}");
+    assert!(
+        !text.contains("{{"),
+        "the template has a field that this stand-in does not know: {text}"
+    );
     text
 }
 
--- a/review/stub/key_moved.rs
+++ b/review/stub/key_moved.rs
@@ -1,8 +1,8 @@
 //! A key moves from one tenant to another while a stream that was asked for with it runs. Then the
 //! replica that runs the stream crashes.
 
+use super::common::{entry, page, read_message, Deployment, List, Record, HOST};
 use super::Verdict;
-use super::common::{Deployment, HOST, List, Record, entry, page, read_message};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/review/stub/lost_while_replaced.rs
+++ b/review/stub/lost_while_replaced.rs
@@ -2,8 +2,8 @@
 //! needs, then the old one gets SIGTERM and leaves for good. Then another one loses its disk right
 //! after it has acknowledged a configuration.
 
+use super::common::{ask, entry, page, serve_plain, Deployment, List, Record, HOST};
 use super::Verdict;
-use super::common::{Deployment, HOST, List, Record, ask, entry, page, serve_plain};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -70,7 +70,9 @@
             let answer = ask(*operator, request, Duration::from_secs(4));
             let (status, body) = answer.map_or((0, Vec::new()), |a| (a.status(), a.body));
             let is_newest = String::from_utf8_lossy(&body) == config(3);
-            record.say(&format!("{operator} answers the read of the configuration {status}, newest: {is_newest}"));
+            record.say(&format!(
+                "{operator} answers the read of the configuration {status}, newest: {is_newest}"
+            ));
             is_read |= status == 200 && is_newest;
         }
         thread::sleep(Duration::from_secs(1));
--- a/review/stub/main.rs
+++ b/review/stub/main.rs
@@ -28,7 +28,11 @@
     };
     match verdict {
         Ok(broken) => {
-            record.say(if broken { "verdict: the rule was broken" } else { "verdict: the rule held" });
+            record.say(if broken {
+                "verdict: the rule was broken"
+            } else {
+                "verdict: the rule held"
+            });
             ExitCode::from(u8::from(broken))
         }
         Err(cause) => {
--- a/review/stub/sound_streams_cut.rs
+++ b/review/stub/sound_streams_cut.rs
@@ -1,8 +1,8 @@
 //! A roll-out is completed, and the old replicas stop, as the pages say. Streams that run on the sound
 //! replicas of the new version are watched.
 
+use super::common::{ask, page, read_message, Deployment, List, Record, HOST};
 use super::Verdict;
-use super::common::{Deployment, HOST, List, Record, ask, page, read_message};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -32,7 +32,13 @@
 }
 
 impl Replica {
-    fn start(name: String, version: &'static str, start: Instant, runs: Runs, record: Record) -> Self {
+    fn start(
+        name: String,
+        version: &'static str,
+        start: Instant,
+        runs: Runs,
+        record: Record,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         listener.set_nonblocking(true).expect("a listener can be made non-blocking");
         let address = listener.local_addr().unwrap();
@@ -58,7 +64,10 @@
             let id = request.header("x-attempt-id").unwrap_or("").to_owned();
             let last: u64 =
                 request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
-            record.say(&format!("replica {} {} runs {id} after event {last}", self.name, self.version));
+            record.say(&format!(
+                "replica {} {} runs {id} after event {last}",
+                self.name, self.version
+            ));
             runs.lock().unwrap().insert(id.clone(), (self.name.clone(), false));
             let head = format!(
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: {}.{id}\r\n\
@@ -68,8 +77,9 @@
             let mut sent = stream.write_all(head.as_bytes());
             for event in last + 1..=EVENTS {
                 let text = format!("id: {event}\ndata: piece {event}\n\n");
-                sent = sent
-                    .and_then(|()| stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()));
+                sent = sent.and_then(|()| {
+                    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+                });
                 if sent.is_err() {
                     return;
                 }
@@ -124,11 +134,7 @@
 }
 
 /// Asks for a stream in the background; says how many events came and whether the answer was whole.
-fn ask_stream(
-    router: SocketAddr,
-    id: String,
-    record: Record,
-) -> thread::JoinHandle<Ended> {
+fn ask_stream(router: SocketAddr, id: String, record: Record) -> thread::JoinHandle<Ended> {
     thread::spawn(move || {
         let request = format!(
             "POST /reply/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 25000\r\n\
@@ -137,20 +143,32 @@
         let answer = ask(router, request.as_bytes(), Duration::from_secs(30)).unwrap_or_default();
         let events = String::from_utf8_lossy(&answer.body).matches("id: ").count();
         let (status, whole) = (answer.status(), answer.whole);
-        record.say(&format!("the client of {id} has got {status}, {events} events, whole: {whole}"));
-        Ended { id, is_whole: status == 200 && whole && events == EVENTS as usize, at: Instant::now() }
+        record
+            .say(&format!("the client of {id} has got {status}, {events} events, whole: {whole}"));
+        Ended {
+            id,
+            is_whole: status == 200 && whole && events == EVENTS as usize,
+            at: Instant::now(),
+        }
     })
 }
 
 pub fn play(record: &Record, trouble: bool) -> Verdict {
     let (start, runs) = (Instant::now(), Runs::default());
     let replica = |number: u32, version: &'static str| {
-        Replica::start(format!("i-{version}-{number}"), version, start, runs.clone(), record.clone())
+        Replica::start(
+            format!("i-{version}-{number}"),
+            version,
+            start,
+            runs.clone(),
+            record.clone(),
+        )
     };
     let old: Vec<Replica> = (0..6).map(|number| replica(number, "v1")).collect();
     let list = List::serve(listed(&old));
     let deployment = Deployment::start(3, list.address);
-    let is_done = |answer: Option<super::common::Message>| answer.is_some_and(|a| a.status() == 200);
+    let is_done =
+        |answer: Option<super::common::Message>| answer.is_some_and(|a| a.status() == 200);
     if !is_done(deployment.order("POST", "/v1/config/replace", &config(1, ""))) {
         return Err("configuration 1 is not acknowledged".to_owned());
     }
