--- a/review/stub/key_moved.rs
+++ b/review/stub/key_moved.rs
@@ -98,7 +98,8 @@
 
 pub fn play(record: &Record, trouble: bool) -> Verdict {
     let runs = Runs::default();
-    let replicas = ["i-one", "i-two"].map(|name| serve_replica(name, runs.clone(), record.clone()));
+    let replicas = ["i-one", "i-two", "i-three", "i-four"]
+        .map(|name| serve_replica(name, runs.clone(), record.clone()));
     let entries = |gone: &str| -> Vec<Vec<u8>> {
         let left = replicas.iter().filter(|replica| replica.name != gone);
         left.map(|r| entry(r.name, "models", r.address, "ready").into_bytes()).collect()
