Log where a call was sent that was sent more than once

One line now names the servers and routers of a call in order when it ends, however it ends. Calls sent once write none.

--- a/src/gateway/accepted_call.rs
+++ b/src/gateway/accepted_call.rs
@@ -1,5 +1,6 @@
 //! A call that was accepted, with what its attempts need and what they have come to.
 
+use super::attempt_trail::AttemptTrail;
 use super::hop::Hop;
 use super::server_selection::{Selection, SelectionCriteria, stable_hash};
 use super::{Gateway, RequestHead, RouteIndex};
@@ -75,6 +76,8 @@
     pub unreached: u32,
     /// Routers that refused the call after it was passed on to them.
     pub refusals: u32,
+    /// Where the call was sent, for the log.
+    pub trail: AttemptTrail,
 }
 
 impl AttemptHistory {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts of a call at one server after another, until one responds.
 
 use super::accepted_call::{AttemptHistory, Call};
+use super::attempt_trail::StepOutcome;
 use super::exchange::{Exchange, SendOutcome};
 use super::server_selection::{SelectedServer, Selection};
 use super::{Access, GatewayError};
@@ -70,6 +71,7 @@
             history.servers.push(name.clone());
             let timeout = self.response_timeout(history);
             history.sends += 1;
+            history.trail.begin(self.log_id(), &name);
             metrics::counter!("samphireshift_attempts_total").increment(1);
             let outcome = match target {
                 Target::Server(selected) => {
@@ -82,6 +84,7 @@
                 }
                 Target::Router(helper) => self.pass_on(&helper, history, last_event, timeout).await,
             };
+            history.trail.end(StepOutcome::of(&outcome));
             match outcome {
                 SendOutcome::Answered(exchange) => {
                     let (status, attempt) = (exchange.response.status(), history.sends);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod accept;
 mod accepted_call;
+mod attempt_trail;
 mod attempts;
 mod brittle_servers;
 mod call;
