Keep one account of a call, whichever routers it passes through

Cause: a router that passed a call on gave the other one the whole max_attempts and counted a single attempt, or none if that one refused; servers that may end under a call and arrivals that draw on the retry budget were counted anew likewise. Change: an allowance goes with the call, an account comes back with the head of the response, and what isn't known of the other router counts as all that it was allowed. The other router resumes no stream.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -1,6 +1,6 @@
 //! Turns an incoming request into a [`Call`]: route lookup, API key check and reading of the body.
 
-use super::accepted_call::Call;
+use super::accepted_call::{Call, ended_before};
 use super::hop::Hop;
 use super::server_selection::{pick_pool, stable_hash};
 use super::{Access, Gateway, GatewayError, RequestHead, RequestedModel, RouteIndex};
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// Time limit for receiving a request body, and the timeout assumed for a call whose route is not
@@ -48,7 +48,7 @@
         false => RequestBody::Buffered(wait_until_started(gateway, &parts, body, started).await?),
     };
     let index = gateway.route_index().ok_or(GatewayError::NoLease)?;
-    if hop.is_some_and(|hop| hop.revision > index.config.revision) {
+    if hop.as_ref().is_some_and(|hop| hop.revision > index.config.revision) {
         return Err(GatewayError::NoLease);
     }
     let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
@@ -57,7 +57,7 @@
     let no_route = || GatewayError::NoRoute(format!("{host}{path}"));
     let route = index.route(&host, path).ok_or_else(no_route)?.clone();
     let mut head = gateway.format.parse_request(&parts.headers).map_err(GatewayError::Malformed)?;
-    if let Some(event) = hop.and_then(|hop| hop.last_event) {
+    if let Some(event) = hop.as_ref().and_then(|hop| hop.last_event) {
         head.last_event = Some(event);
     }
     let key = head.key.as_deref().map(KeyHash::of);
@@ -73,7 +73,7 @@
         return Err(GatewayError::Blocked(part));
     }
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
-    let deadline = started + hop.map_or(timeout, |hop| hop.left.min(timeout));
+    let deadline = started + hop.as_ref().map_or(timeout, |hop| hop.left.min(timeout));
     let body = read_body(body, index.limits(), deadline.min(started + RECEIVE_TIMEOUT)).await?;
     let caller = organisation.as_ref().map(OrganisationName::as_str);
     let request = gateway.hasher.id(&parts.method, &parts.uri, caller, &body);
@@ -96,7 +96,7 @@
         priority: has_engine(&index, &pool).then_some(rank),
         rank,
         suspects: suspects.into(),
-        ended_servers: Arc::default(),
+        ended_servers: Arc::new(AtomicU32::new(hop.as_ref().map_or(0, ended_before))),
         index,
         pool,
         key: organisation.as_ref().and(key),
--- a/src/gateway/accepted_call.rs
+++ b/src/gateway/accepted_call.rs
@@ -2,6 +2,7 @@
 
 use super::attempt_trail::AttemptTrail;
 use super::hop::Hop;
+use super::hop_account::HopAccount;
 use super::server_selection::{Selection, SelectionCriteria, stable_hash};
 use super::{Gateway, RequestHead, RouteIndex};
 use crate::control::{ConfiguredRoute, KeyHash, Suspect};
@@ -13,7 +14,7 @@
 use std::time::Instant;
 
 /// Servers that may end under one call before it is not sent to another one.
-const MAX_ENDED_SERVERS: u32 = 2;
+pub const MAX_ENDED_SERVERS: u32 = 2;
 
 /// An accepted call, with everything that its attempts need.
 #[derive(Clone)]
@@ -43,7 +44,8 @@
     pub parts: Vec<(u64, u32)>,
     /// What would be to blame if servers ended under this call.
     pub suspects: Arc<[Suspect]>,
-    /// Servers that ended under this call before they had answered for long.
+    /// Servers that ended under this call before they had answered for long, those that another router
+    /// may not end any more included.
     pub ended_servers: Arc<AtomicU32>,
     /// The HTTP method.
     pub method: Method,
@@ -62,12 +64,14 @@
 }
 
 /// The attempts made for a call so far.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct AttemptHistory {
     /// Servers that the call was sent to, or that could not be reached.
     pub servers: Vec<VmName>,
-    /// Attempts in which the call may have reached a server.
+    /// Attempts in which the call may have reached a server, at this router or another one.
     pub sends: u32,
+    /// The most attempts that the router allows that has passed the call on.
+    pub most_sends: Option<u32>,
     /// Why the last attempt failed; `None` while no server can have run the call.
     pub last_failure: Option<String>,
     /// Whether the retry budget has already been charged for the next attempt.
@@ -82,14 +86,39 @@
 
 impl AttemptHistory {
     /// The attempts made for a call before it was passed on to this router.
-    pub fn passed_on(hop: Hop) -> Self {
+    pub fn passed_on(hop: &Hop) -> Self {
+        let allowance = hop.allowance();
         Self {
             sends: hop.sends,
+            most_sends: Some(hop.sends.saturating_add(allowance.sends)),
             last_failure: hop.may_have_run.then(|| "another router got no response".to_owned()),
             budget_taken: true,
+            servers: allowance.tried,
             ..Self::default()
         }
     }
+
+    /// The history for a response that goes on after this one ends; this one is not logged then.
+    pub fn hand_over(&mut self) -> Self {
+        let trail = self.trail.hand_over();
+        Self { trail, ..self.clone() }
+    }
+
+    /// What was done for a call since it was passed on to this router.
+    pub fn account(&self, call: &Call) -> HopAccount {
+        let Some(hop) = &call.hop else { return HopAccount::default() };
+        let ended = call.ended_servers.load(Ordering::Relaxed);
+        HopAccount {
+            sends: self.sends.saturating_sub(hop.sends),
+            ends: ended.saturating_sub(ended_before(hop)),
+            servers: self.trail.servers(),
+        }
+    }
+}
+
+/// Servers that count as ended under a call before it was passed on: all but those that may still end.
+pub fn ended_before(hop: &Hop) -> u32 {
+    MAX_ENDED_SERVERS.saturating_sub(hop.allowance().ends)
 }
 
 impl Call {
@@ -138,7 +167,13 @@
             return false;
         }
         let is_repeatable = history.last_failure.is_none() || self.route.kind.is_retry_safe();
-        is_repeatable && history.sends < self.route.max_attempts && Instant::now() < self.deadline
+        is_repeatable && self.sends_left(history) > 0 && Instant::now() < self.deadline
+    }
+
+    /// How often the call may still be sent, by its route and by the router that has passed it on.
+    pub(super) fn sends_left(&self, history: &AttemptHistory) -> u32 {
+        let most = history.most_sends.unwrap_or(u32::MAX).min(self.route.max_attempts);
+        most.saturating_sub(history.sends)
     }
 
     /// Whether the call may be sent to another server although one has run it.
--- a/src/gateway/attempt_trail.rs
+++ b/src/gateway/attempt_trail.rs
@@ -7,15 +7,19 @@
 
 /// Where a call was sent, in order. It is logged when the call ends, however it ends, if the call was
 /// sent more than once.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct AttemptTrail {
     call: String,
     steps: Vec<Step>,
+    /// Whether another part of the call logs the trail.
+    is_handed_over: bool,
 }
 
 #[derive(Debug, Clone)]
 struct Step {
     target: VmName,
+    /// The servers that the target sent the call to, if it is another router.
+    passed_on: Option<Vec<VmName>>,
     outcome: StepOutcome,
 }
 
@@ -58,6 +62,13 @@
     }
 }
 
+impl Step {
+    /// The servers that the call was sent to in this step.
+    fn servers(&self) -> &[VmName] {
+        self.passed_on.as_deref().unwrap_or(std::slice::from_ref(&self.target))
+    }
+}
+
 impl AttemptTrail {
     /// A call is about to be sent to a server or another router.
     pub fn begin(&mut self, call: &str, target: &VmName) {
@@ -65,7 +76,8 @@
             call.clone_into(&mut self.call);
         }
         if self.steps.len() < MAX_STEPS {
-            self.steps.push(Step { target: target.clone(), outcome: StepOutcome::Open });
+            let (target, outcome) = (target.clone(), StepOutcome::Open);
+            self.steps.push(Step { target, passed_on: None, outcome });
         }
     }
 
@@ -76,16 +88,40 @@
         }
     }
 
+    /// The servers that the router has sent the call to, to which the last step passed it on.
+    pub fn passed_on(&mut self, servers: &[VmName]) {
+        if let Some(step) = self.steps.last_mut() {
+            step.passed_on = Some(servers.to_vec());
+        }
+    }
+
+    /// The servers that the call was sent to, here or by other routers.
+    pub fn servers(&self) -> Vec<VmName> {
+        let sent = self.steps.iter().filter(|step| step.outcome != StepOutcome::NotSent);
+        sent.flat_map(Step::servers).cloned().collect()
+    }
+
+    /// The same trail for the part of the call that goes on; this one is not logged then.
+    pub fn hand_over(&mut self) -> Self {
+        let trail = self.clone();
+        self.is_handed_over = true;
+        trail
+    }
+
     fn count_sent(&self) -> usize {
-        self.steps.iter().filter(|step| step.outcome != StepOutcome::NotSent).count()
+        let sent = self.steps.iter().filter(|step| step.outcome != StepOutcome::NotSent);
+        sent.map(|step| step.servers().len().max(1)).sum()
     }
 }
 
 impl fmt::Display for AttemptTrail {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, Step { target, outcome }) in self.steps.iter().enumerate() {
+        for (index, step) in self.steps.iter().enumerate() {
             let comma = if index == 0 { "" } else { ", " };
-            write!(f, "{comma}{target} {outcome}")?;
+            write!(f, "{comma}{} {}", step.target, step.outcome)?;
+            for server in step.passed_on.iter().flatten() {
+                write!(f, ", by it to {server}")?;
+            }
         }
         Ok(())
     }
@@ -94,7 +130,7 @@
 impl Drop for AttemptTrail {
     fn drop(&mut self) {
         let count = self.count_sent();
-        if count > 1 {
+        if count > 1 && !self.is_handed_over {
             log::info!("call {}: ended after it was sent {count} times: {self}", self.call);
         }
     }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -70,16 +70,19 @@
             let name = target.name().clone();
             history.servers.push(name.clone());
             let timeout = self.response_timeout(history);
-            history.sends += 1;
             history.trail.begin(self.log_id(), &name);
             metrics::counter!("samphireshift_attempts_total").increment(1);
             let outcome = match target {
                 Target::Server(selected) => {
                     let version = selected.server.vm.version.clone();
+                    history.sends += 1;
                     let outcome = self.send(selected, last_event, timeout).await;
                     if let (SendOutcome::Answered(_), Some(session)) = (&outcome, session) {
                         self.gateway.sessions.record(session, version);
                     }
+                    if let SendOutcome::NotSent(_) | SendOutcome::Unreached(_) = outcome {
+                        history.sends -= 1;
+                    }
                     outcome
                 }
                 Target::Router(helper) => self.pass_on(&helper, history, last_event, timeout).await,
@@ -95,17 +98,15 @@
                     return Ok(exchange);
                 }
                 SendOutcome::NotSent(cause) => {
-                    history.sends -= 1;
                     log::info!("call {}: could not send to {name}: {cause}", self.log_id());
                 }
                 SendOutcome::Unreached(cause) => {
-                    history.sends -= 1;
                     history.unreached += 1;
                     log::info!("call {}: could not reach {name}: {cause}", self.log_id());
                 }
                 SendOutcome::Refused { status, wait } => {
-                    history.sends -= 1;
                     history.refusals += 1;
+                    history.servers.push(name.clone());
                     log::info!("call {}: router {name} refuses it: {status}", self.log_id());
                     if status.is_client_error() || history.refusals >= MAX_REFUSALS {
                         return Err(self.refusal(history, status, wait));
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,6 +4,7 @@
 use super::accepted_call::{AttemptHistory, Call};
 use super::exchange::Exchange;
 use super::hop::Hop;
+use super::hop_account::HopAccount;
 use super::response::{ResponseBody, full_body, may_carry_events, strip_hop_headers};
 use super::server_selection::Selection;
 use super::stream_relay::{StreamRelay, relay_stream};
@@ -20,26 +21,39 @@
 /// How much longer the largest model takes to start its response than the smallest, as a factor.
 const LARGEST_MODEL_SLOWDOWN: f64 = 2.2;
 
+/// What came of a request.
+pub struct Served {
+    /// The response, or why there is none.
+    pub result: Result<Response<ResponseBody>, GatewayError>,
+    /// What was done for it here, if another router has passed it on.
+    pub account: HopAccount,
+}
+
 /// Serves one request within its deadline.
-pub async fn serve(
-    gateway: &Arc<Gateway>,
-    request: Request<Incoming>,
-    hop: Option<Hop>,
-) -> Result<Response<ResponseBody>, GatewayError> {
+pub async fn serve(gateway: &Arc<Gateway>, request: Request<Incoming>, hop: Option<Hop>) -> Served {
     let started = Instant::now();
-    let call = accept(gateway, request, started, hop).await?;
-    let deadline = call.deadline;
-    let call = Arc::new(call);
+    let call = match accept(gateway, request, started, hop).await {
+        Ok(call) => Arc::new(call),
+        Err(error) => return Served { result: Err(error), account: HopAccount::default() },
+    };
     // A call counts once, where the caller sent it.
-    if hop.is_none() {
+    if call.hop.is_none() {
         call.gateway.record_call(&call.pool);
     }
     call.gateway.count_for_silence();
-    let mut history = hop.map(AttemptHistory::passed_on).unwrap_or_default();
+    let mut history = call.hop.as_ref().map(AttemptHistory::passed_on).unwrap_or_default();
+    let result = serve_accepted(&call, &mut history).await;
+    Served { result, account: history.account(&call) }
+}
+
+async fn serve_accepted(
+    call: &Arc<Call>,
+    history: &mut AttemptHistory,
+) -> Result<Response<ResponseBody>, GatewayError> {
     let sends_before = history.sends;
-    let work = try_servers(&call, &mut history);
+    let work = try_servers(call, history);
     let served = tokio::select! {
-        served = tokio::time::timeout_at(deadline.into(), work) => served,
+        served = tokio::time::timeout_at(call.deadline.into(), work) => served,
         // Dropping the attempt closes its connection: the call may still wait in its server's queue.
         suspect = call.gateway.parts.until_blocked(&call.suspects) => {
             log::info!("call {}: given up, as {suspect} ends servers", call.log_id());
@@ -95,7 +109,7 @@
         let is_stream = call.route.kind.is_stream() && may_carry_events(&exchange.response);
         if is_stream && exchange.response.status().is_success() {
             match StreamRelay::open(call.clone(), exchange).await {
-                Ok(opened) => return Ok(relay_stream(opened, std::mem::take(history))),
+                Ok(opened) => return Ok(relay_stream(opened, history.hand_over())),
                 Err(cause) => {
                     history.last_failure = Some(cause);
                     continue;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 use super::accepted_call::Call;
 use super::brittle_servers::named_limit;
 use super::hop::HOP;
+use super::hop_account::ALLOWANCE;
 use super::part_watch::RunRecord;
 use super::paths::PoolPath;
 use super::response::{ends_with_connection, strip_hop_headers};
@@ -356,6 +357,7 @@
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
         headers.remove(HOP);
+        headers.remove(ALLOWANCE);
         let head = ForwardedHead {
             organisation: self.organisation.as_ref(),
             server,
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -1,6 +1,7 @@
 //! What one router tells another about a call that it passes on, as a header of the request, and what
 //! the other one tells it about a refusal.
 
+use super::hop_account::{ALLOWANCE, HopAllowance};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 pub const REFUSED: HeaderName = HeaderName::from_static("x-samphireshift-refused");
 
 /// A call that another router has passed on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Hop {
     /// The time left of the call.
     pub left: Duration,
@@ -22,29 +23,43 @@
     pub may_have_run: bool,
     /// The id of the last event that the caller has received, if any.
     pub last_event: Option<u64>,
+    /// What may be done for the call; `None` from builds that state none.
+    pub allowance: Option<HopAllowance>,
 }
 
 impl Hop {
-    /// The value of the header.
-    pub fn to_header(self) -> HeaderValue {
-        let Self { left, revision, sends, may_have_run, last_event } = self;
-        let (left, may_have_run) = (left.as_millis(), u8::from(may_have_run));
+    /// What this router may do for the call.
+    pub fn allowance(&self) -> HopAllowance {
+        self.allowance.clone().unwrap_or(HopAllowance::UNSTATED)
+    }
+
+    /// Writes the headers.
+    pub fn write(&self, headers: &mut HeaderMap) {
+        let Self { left, revision, sends, may_have_run, last_event, allowance } = self;
+        let (left, may_have_run) = (left.as_millis(), u8::from(*may_have_run));
         let mut text = format!("{left} {revision} {sends} {may_have_run}");
         if let Some(event) = last_event {
             text.push_str(&format!(" {event}"));
         }
-        HeaderValue::from_str(&text).expect("digits and blanks are a header value")
+        let value = HeaderValue::from_str(&text).expect("digits and blanks are a header value");
+        headers.insert(HOP, value);
+        match allowance {
+            Some(allowance) => allowance.write(headers),
+            None => drop(headers.remove(ALLOWANCE)),
+        }
     }
 
-    /// Reads the header; `None` if it is missing or malformed.
+    /// Reads the headers; `None` if they are missing or malformed.
     ///
     /// ```
-    /// use samphireshift::gateway::Hop;
+    /// use samphireshift::gateway::{Hop, HopAllowance};
     /// use std::time::Duration;
     /// let left = Duration::from_millis(600);
-    /// let hop = Hop { left, revision: 7, sends: 1, may_have_run: true, last_event: Some(3) };
+    /// let allowance = Some(HopAllowance { sends: 2, ends: 1, tried: Vec::new() });
+    /// let last_event = Some(3);
+    /// let hop = Hop { left, revision: 7, sends: 1, may_have_run: true, last_event, allowance };
     /// let mut headers = http::HeaderMap::new();
-    /// headers.insert("x-samphireshift-hop", hop.to_header());
+    /// hop.write(&mut headers);
     /// assert_eq!(Hop::from_headers(&headers), Some(hop));
     /// ```
     pub fn from_headers(headers: &HeaderMap) -> Option<Self> {
@@ -54,7 +69,12 @@
         let [left, revision, sends, may_have_run, ref last_event @ ..] = numbers[..] else {
             return None;
         };
+        let allowance = HopAllowance::read(headers);
+        if allowance.is_none() && headers.contains_key(ALLOWANCE) {
+            return None;
+        }
         Some(Self {
+            allowance,
             left: Duration::from_millis(left),
             revision,
             sends: u32::try_from(sends).ok()?,
--- a/src/gateway/http_server.rs
+++ b/src/gateway/http_server.rs
@@ -2,8 +2,9 @@
 
 use super::Gateway;
 use super::GatewayError;
-use super::call::serve;
+use super::call::{Served, serve};
 use super::hop::{Hop, REFUSED};
+use super::hop_account::HopAccount;
 use super::response::{ResponseBody, error_response};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
@@ -139,14 +140,16 @@
     let id = gateway.format.log_id(request.headers()).to_owned();
     let started = Instant::now();
     let hop = Hop::from_headers(request.headers()).filter(|_| origin == Origin::Router);
-    let served = match (origin, hop) {
+    let is_account_due = hop.as_ref().is_some_and(|hop| hop.allowance.is_some());
+    let Served { result, account } = match (origin, hop) {
         (Origin::Router, None) => {
-            Err(GatewayError::Malformed("the header of a call passed on is missing".to_owned()))
+            let missing = "the headers of a call passed on are missing or malformed".to_owned();
+            Served { result: Err(GatewayError::Malformed(missing)), account: HopAccount::default() }
         }
-        _ => serve(&gateway, request, hop).await,
+        (_, hop) => serve(&gateway, request, hop).await,
     };
-    record_outcome(&served, started);
-    let mut response = served.unwrap_or_else(|error| {
+    record_outcome(&result, started);
+    let mut response = result.unwrap_or_else(|error| {
         let revision = gateway.lease.revision().unwrap_or(0);
         let left_ms = gateway.lease.remaining().as_millis();
         let code = error.code();
@@ -159,6 +162,9 @@
         }
         refusal
     });
+    if is_account_due {
+        account.write(response.headers_mut());
+    }
     if gateway.draining.load(Ordering::Relaxed) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod header_format;
 mod helper_list;
 mod hop;
+mod hop_account;
 mod hop_server;
 mod http_server;
 mod leader_loop;
@@ -46,6 +47,7 @@
     ResponseHead, TokenCounts,
 };
 pub use hop::Hop;
+pub use hop_account::{HopAccount, HopAllowance};
 pub use request_hasher::RequestHasher;
 pub use route_index::{Access, RouteIndex};
 pub use run::run;
--- a/src/gateway/pass_on.rs
+++ b/src/gateway/pass_on.rs
@@ -1,17 +1,19 @@
 //! Passes a call on to another router, where this one does not reach the servers.
 
-use super::accepted_call::{AttemptHistory, Call};
+use super::accepted_call::{AttemptHistory, Call, MAX_ENDED_SERVERS};
 use super::exchange::{Exchange, SendOutcome, invalid_reason};
-use super::hop::{HOP, Hop, REFUSED};
+use super::hop::{Hop, REFUSED};
+use super::hop_account::{HopAccount, HopAllowance};
 use super::response::strip_hop_headers;
 use super::response_timeout::ResponseTimeout;
 use super::route_permit::RoutePermit;
-use crate::backend::{PooledConnection, SendError};
+use crate::backend::{BackendBody, PooledConnection, SendError};
 use crate::peer::{self, ProtocolVersion};
 use crate::policy::Helper;
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
@@ -24,13 +26,13 @@
     pub(super) async fn pass_on(
         &self,
         helper: &Helper,
-        history: &AttemptHistory,
+        history: &mut AttemptHistory,
         last_event: Option<u64>,
         timeout: ResponseTimeout,
     ) -> SendOutcome {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, self.connect_to_helper(helper)).await;
-        let mut connection = match connected {
-            Ok(Ok(connection)) => connection,
+        let (mut connection, version) = match connected {
+            Ok(Ok(connected)) => connected,
             Ok(Err(cause)) => return SendOutcome::Unreached(cause),
             Err(_) => return SendOutcome::Unreached("connection attempt timed out".to_owned()),
         };
@@ -38,16 +40,68 @@
         let (lease, revision) = (self.gateway.lease.clone(), self.index.config.revision);
         let (route, pool) = (self.route.clone(), self.pool.clone());
         connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
-        let request = self.request_to_helper(history, last_event);
+        let allowance = self.allowance(history, version);
+        let request = self.request_to_helper(history, last_event, &allowance, version);
+        // What is not known of the other router's sends counts as all that it may do.
+        self.charge(history, &allowance.used_up());
         metrics::counter!("samphireshift_calls_passed_on_total").increment(1);
         let sent_at = Instant::now();
         let sent = connection.send_unchanged(request);
-        let response = match tokio::time::timeout_at(timeout.latest.into(), sent).await {
+        let mut response = match tokio::time::timeout_at(timeout.latest.into(), sent).await {
             Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent(cause))) => return SendOutcome::Unreached(cause),
+            Ok(Err(SendError::NotSent(cause))) => {
+                self.settle(history, &allowance, &HopAccount::default());
+                return SendOutcome::Unreached(cause);
+            }
             Ok(Err(SendError::MaybeSent(cause))) => return SendOutcome::Lost(cause),
             Err(_) => return SendOutcome::Lost("no response in time".to_owned()),
         };
+        if let Some(account) = HopAccount::take(response.headers_mut()) {
+            self.settle(history, &allowance, &account);
+            // That router is sound: it may be passed the call again.
+            history.servers.retain(|name| *name != helper.vm);
+        }
+        self.response_of_helper(helper, response, connection, timeout, sent_at)
+    }
+
+    /// What another router may do for the call. One attempt is kept back, in case nothing is heard of
+    /// that router any more. Builds that keep no account may send a call once.
+    fn allowance(&self, history: &AttemptHistory, version: ProtocolVersion) -> HopAllowance {
+        if version < ProtocolVersion::HOP_ACCOUNTS {
+            return HopAllowance::UNSTATED;
+        }
+        let ended = self.ended_servers.load(Ordering::Relaxed);
+        HopAllowance {
+            sends: self.sends_left(history).saturating_sub(1).max(1),
+            ends: MAX_ENDED_SERVERS.saturating_sub(ended + 1).max(1),
+            // Others may reach the servers that could not be reached from here.
+            tried: history.trail.servers(),
+        }
+    }
+
+    /// Counts what another router has done for the call, or may have done.
+    fn charge(&self, history: &mut AttemptHistory, account: &HopAccount) {
+        history.sends += account.sends;
+        self.ended_servers.fetch_add(account.ends, Ordering::Relaxed);
+    }
+
+    /// Puts the account of another router in the place of all that it was allowed.
+    fn settle(&self, history: &mut AttemptHistory, allowance: &HopAllowance, account: &HopAccount) {
+        history.sends -= allowance.sends;
+        self.ended_servers.fetch_sub(allowance.ends, Ordering::Relaxed);
+        self.charge(history, account);
+        history.trail.passed_on(&account.servers);
+        history.servers.extend(account.servers.iter().cloned());
+    }
+
+    fn response_of_helper(
+        &self,
+        helper: &Helper,
+        response: Response<BackendBody>,
+        connection: PooledConnection,
+        timeout: ResponseTimeout,
+        sent_at: Instant,
+    ) -> SendOutcome {
         let head = self.gateway.format.parse_response(response.headers());
         let status = response.status();
         if response.headers().contains_key(REFUSED) {
@@ -69,7 +123,10 @@
     }
 
     /// Opens a connection on which both ends have proved that they know the shared secret.
-    async fn connect_to_helper(&self, helper: &Helper) -> Result<PooledConnection, String> {
+    async fn connect_to_helper(
+        &self,
+        helper: &Helper,
+    ) -> Result<(PooledConnection, ProtocolVersion), String> {
         let gateway = &self.gateway;
         let identity = gateway.identity.get().ok_or("this router has no identity yet")?;
         let stream = TcpStream::connect(helper.address).await.map_err(|error| error.to_string())?;
@@ -84,7 +141,8 @@
             return Err("the other router sent bytes that are no part of the handshake".to_owned());
         }
         let adopted = gateway.connections.adopt(helper.address, parts.io).await;
-        adopted.map_err(|error| error.to_string())
+        let connection = adopted.map_err(|error| error.to_string())?;
+        Ok((connection, peer.version))
     }
 
     /// The caller's request, with what the other router has to know.
@@ -92,19 +150,25 @@
         &self,
         history: &AttemptHistory,
         last_event: Option<u64>,
+        allowance: &HopAllowance,
+        version: ProtocolVersion,
     ) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
         strip_hop_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
+        let states_allowance = version >= ProtocolVersion::HOP_ACCOUNTS;
+        // Builds that keep no account make all attempts that the count leaves.
+        let last_send = self.route.max_attempts.saturating_sub(1);
         let hop = Hop {
             left: self.deadline.saturating_duration_since(Instant::now()),
             revision: self.gateway.lease.revision().unwrap_or(0),
-            sends: history.sends.saturating_sub(1),
+            sends: if states_allowance { history.sends } else { last_send },
             may_have_run: history.last_failure.is_some(),
             last_event: last_event.or(self.head.last_event),
+            allowance: states_allowance.then(|| allowance.clone()),
         };
-        headers.insert(HOP, hop.to_header());
+        hop.write(&mut headers);
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
--- a/src/gateway/response_timeout.rs
+++ b/src/gateway/response_timeout.rs
@@ -58,8 +58,7 @@
     pub(super) fn response_timeout(&self, history: &AttemptHistory) -> ResponseTimeout {
         let now = Instant::now();
         let left = self.deadline.saturating_duration_since(now);
-        let is_last =
-            history.sends + 1 >= self.route.max_attempts || !self.route.kind.is_retry_safe();
+        let is_last = self.sends_left(history) <= 1 || !self.route.kind.is_retry_safe();
         if is_last {
             return ResponseTimeout { early: self.deadline, latest: self.deadline };
         }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -215,7 +215,8 @@
         self.exchange = None;
         self.waited = Duration::ZERO;
         self.history.last_failure = Some(error.to_string());
-        if !self.call.may_retry(&self.history) {
+        // Another router that passes a call on resumes its stream itself: it has the call's account.
+        if self.call.hop.is_some() || !self.call.may_retry(&self.history) {
             return Err(io::Error::other(error.to_string()));
         }
         let (call, last_id) = (self.call.clone(), self.splitter.last_id());
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -22,6 +22,9 @@
     /// Since this version, a leader names routers to which calls can be passed on, and routers take
     /// such calls.
     pub const HELPERS: Self = Self(6);
+    /// Since this version, a router that is passed a call keeps to the allowance that comes with it, and
+    /// tells what it has used of it.
+    pub const HOP_ACCOUNTS: Self = Self(7);
     /// The version of this build.
-    pub const CURRENT: Self = Self::HELPERS;
+    pub const CURRENT: Self = Self::HOP_ACCOUNTS;
 }
