--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,7 +13,7 @@
 use super::server_selection::SelectedServer;
 use super::server_table::{InFlightCall, ServerState};
 use super::tallies::{CallOutcome, CallRecorder};
-use super::{ForwardedHead, ResponseHead};
+use super::{ForwardedHead, NamedLimit, ResponseHead};
 use crate::backend::{BackendBody, ByteBudget, PooledConnection, SendError};
 use crate::policy::Helper;
 use bytes::Bytes;
@@ -251,6 +251,9 @@
         // Another server may have taken over the address.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             let limit = named_limit(&server, &head, response.status());
+            if let NamedLimit::PerSecond(_) = limit {
+                permit.limit_named();
+            }
             self.gateway.limits.hear(&server.vm.name, limit, sent_at);
         }
         let declines = response.status() == StatusCode::SERVICE_UNAVAILABLE
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -6,7 +6,8 @@
 use crate::group::since_start;
 use crate::name::{PoolName, VmName};
 use crate::policy::{
-    Admission, LimitDemand, LimitNews, LimitPosition, LocalLimits, ReturnSchedule, SendToken,
+    Admission, LimitChange, LimitDemand, LimitKnowledge, LimitNews, LimitPosition, LocalLimits,
+    ReturnSchedule, SendToken, TokenSource,
 };
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -82,11 +83,23 @@
     /// Marks the permission as used.
     pub fn spend(&mut self) {
         if let Self::Token(token) = self {
-            metrics::counter!("samphireshift_limited_sends_total").increment(1);
+            count_limited_send(match token.token.source {
+                TokenSource::Leader => "leader",
+                TokenSource::OwnPart => "own_part",
+                TokenSource::WarmUp => "warm_up",
+            });
             token.is_spent = true;
         }
     }
 
+    /// The server that a request was sent to has named a limit. Counts the request if it was sent
+    /// without a permission, as no limit was known.
+    pub fn limit_named(&self) {
+        if let Self::Free = self {
+            count_limited_send("none");
+        }
+    }
+
     /// Takes it back that the permission was used, as nothing was sent.
     pub fn unspend(&mut self) {
         if let Self::Token(token) = self {
@@ -95,6 +108,11 @@
     }
 }
 
+/// Counts a request to a server that takes few, by what permitted it.
+fn count_limited_send(permission: &'static str) {
+    metrics::counter!("samphireshift_limited_sends_total", "permission" => permission).increment(1);
+}
+
 impl LimitToken {
     /// The server that the token is for.
     pub fn server(&self) -> &VmName {
@@ -155,11 +173,7 @@
         let mut inner = self.lock();
         let is_news = inner.local.hear(now, sent_at, server, limit);
         self.update_count(&inner);
-        match limit {
-            Some(limit) => inner.log_limit(server, limit),
-            None if is_news => log::info!("server {server} names no limit any more"),
-            None => {}
-        }
+        inner.log_changes();
         if is_news {
             self.news.notify_one();
         }
@@ -287,6 +301,7 @@
         inner.queue.hand_out(now, &mut inner.local);
         inner.queue.give_up_late(now, &inner.local);
         self.update_count(inner);
+        inner.log_changes();
     }
 
     /// Sets the number of routers that share the limits.
@@ -301,6 +316,7 @@
     {
         let mut inner = self.lock();
         inner.local.retain(&is_listed);
+        inner.log_changes();
         inner.logged.retain(|server, _| is_listed(server));
         self.update_count(&inner);
     }
@@ -311,11 +327,23 @@
 }
 
 impl Inner {
-    fn log_limit(&mut self, server: &VmName, limit: f64) {
-        let before = self.logged.get(server);
-        if before.is_none_or(|before| (limit - before).abs() > LOGGED_CHANGE * before) {
-            log::info!("server {server} names a limit of {limit} requests a second");
-            self.logged.insert(server.clone(), limit);
+    fn log_changes(&mut self) {
+        for change in self.local.take_changes() {
+            let LimitChange { server, state, .. } = &change;
+            match state {
+                LimitKnowledge::Named(limit) if self.is_logged(server, *limit) => continue,
+                LimitKnowledge::Named(limit) => drop(self.logged.insert(server.clone(), *limit)),
+                LimitKnowledge::Ended | LimitKnowledge::Forgotten => {
+                    self.logged.remove(server);
+                }
+            }
+            log::info!("{change}");
         }
     }
+
+    /// Whether a limit was logged that differs little.
+    fn is_logged(&self, server: &VmName, limit: f64) -> bool {
+        let before = self.logged.get(server);
+        before.is_some_and(|before| (limit - before).abs() <= LOGGED_CHANGE * before)
+    }
 }
--- a/src/policy/local_limits.rs
+++ b/src/policy/local_limits.rs
@@ -2,8 +2,8 @@
 //! See [`SharedLimits`](super::SharedLimits) for the leader's side.
 
 use super::{
-    HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, OwnShare, ServerPace,
-    TokenCount, WarmUps,
+    HeardLimit, KnownLimit, LimitAsk, LimitChange, LimitDemand, LimitKnowledge, LimitNews,
+    LimitPosition, LimitSource, OwnShare, ServerPace, TokenCount, WarmUps,
 };
 use crate::name::VmName;
 use std::collections::{BTreeMap, VecDeque};
@@ -26,6 +26,8 @@
 const NEWS_CHANGE: f64 = 0.1;
 /// How long the largest number of routers is remembered: a new leader counts them only bit by bit.
 const FLEET_TTL: Duration = Duration::from_secs(10);
+/// Changes that are kept for the log.
+const MAX_CHANGES: usize = 64;
 
 /// Limits, tokens and demand of one router.
 #[derive(Debug)]
@@ -41,6 +43,8 @@
     /// Numbers of routers, and when they were told.
     fleet: VecDeque<(Duration, u32)>,
     warm_ups: WarmUps,
+    /// Changes that have not been logged.
+    changes: Vec<LimitChange>,
 }
 
 #[derive(Debug)]
@@ -77,6 +81,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SendToken {
     expires_at: Duration,
+    /// Where it comes from.
+    pub source: TokenSource,
+}
+
+/// What permits a request to a server that takes few.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TokenSource {
+    /// A token of the leader.
+    Leader,
+    /// The router's own part, without a leader.
+    OwnPart,
+    /// A turn at a server that warms up.
+    WarmUp,
 }
 
 impl LocalLimit {
@@ -125,6 +142,7 @@
             answered_at: None,
             fleet: VecDeque::new(),
             warm_ups: WarmUps::new(phase.to_bits()),
+            changes: Vec::new(),
         }
     }
 
@@ -138,30 +156,47 @@
         limit: Option<f64>,
     ) -> bool {
         let limit = limit.filter(|limit| *limit < MAX_LIMIT);
-        match (self.servers.get_mut(server), limit) {
+        let (is_news, state) = match (self.servers.get_mut(server), limit) {
             (Some(known), Some(limit)) => {
                 let changed =
                     known.has_ended || (limit - known.limit).abs() > NEWS_CHANGE * known.limit;
                 known.unreported |= known.has_ended || limit != known.limit;
                 known.heard_at = now;
                 known.set_limit(limit);
-                changed
+                (changed, LimitKnowledge::Named(limit))
             }
             (None, Some(limit)) => {
                 let known = LocalLimit { unreported: true, ..LocalLimit::new(now, limit, now) };
                 self.servers.insert(server.clone(), known);
-                true
+                (true, LimitKnowledge::Named(limit))
             }
             // An answer to an older call may have been on its way when the limit was named.
             (Some(known), None) if !known.has_ended && sent_at > known.heard_at => {
                 known.heard_at = sent_at;
                 (known.has_ended, known.unreported) = (true, true);
-                true
+                (true, LimitKnowledge::Ended)
             }
-            (_, None) => false,
+            (_, None) => return false,
+        };
+        if is_news {
+            self.note(server, state, LimitSource::Answer, now.saturating_sub(sent_at));
+        }
+        is_news
+    }
+
+    /// Keeps a change for the log.
+    fn note(&mut self, server: &VmName, state: LimitKnowledge, source: LimitSource, age: Duration) {
+        if self.changes.len() < MAX_CHANGES {
+            let server = server.clone();
+            self.changes.push(LimitChange { server, state, source, age });
         }
     }
 
+    /// The changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<LimitChange> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// The limit of a server, in requests a second; `None` without one.
     pub fn limit(&self, server: &VmName) -> Option<f64> {
         self.servers.get(server).map(|known| known.limit)
@@ -218,13 +253,13 @@
         let fleet = self.fleet();
         self.warm_ups.take(server);
         let Some(known) = self.servers.get_mut(server) else {
-            return Some(SendToken { expires_at: now + TOKEN_TTL });
+            return Some(SendToken { expires_at: now + TOKEN_TTL, source: TokenSource::WarmUp });
         };
-        let expires_at = known.tokens.pop_front().unwrap_or_else(|| {
-            known.share.take(interval(known, fleet));
-            now + TOKEN_TTL
-        });
-        Some(SendToken { expires_at })
+        if let Some(expires_at) = known.tokens.pop_front() {
+            return Some(SendToken { expires_at, source: TokenSource::Leader });
+        }
+        known.share.take(interval(known, fleet));
+        Some(SendToken { expires_at: now + TOKEN_TTL, source: TokenSource::OwnPart })
     }
 
     /// Whether a token may still be used.
@@ -313,7 +348,19 @@
             self.servers.values_mut().for_each(|known| known.unreported = true);
         }
         self.position = news.position;
+        let age = now.saturating_sub(asked_at);
         for KnownLimit { server, limit } in &news.limits {
+            let known = self.servers.get(server).filter(|known| !known.has_ended);
+            let state = match (known, limit) {
+                (Some(known), _) if known.unreported => None,
+                (Some(known), Some(limit)) if known.limit == *limit => None,
+                (_, Some(limit)) => Some(LimitKnowledge::Named(*limit)),
+                (Some(_), None) => Some(LimitKnowledge::Ended),
+                (None, None) => None,
+            };
+            if let Some(state) = state {
+                self.note(server, state, LimitSource::Leader, age);
+            }
             match (self.servers.get_mut(server), limit) {
                 // What this router has heard since is newer.
                 (Some(known), _) if known.unreported => {}
@@ -347,7 +394,13 @@
     where
         F: Fn(&VmName) -> bool,
     {
-        self.servers.retain(|server, _| is_listed(server));
+        let gone: Vec<VmName> =
+            self.servers.keys().filter(|server| !is_listed(server)).cloned().collect();
+        for server in gone {
+            self.servers.remove(&server);
+            let state = LimitKnowledge::Forgotten;
+            self.note(&server, state, LimitSource::VmList, Duration::ZERO);
+        }
         self.warm_ups.retain(is_listed);
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod fleet_stats;
 mod geometric_mean;
 mod kind_key;
+mod limit_change;
 mod limit_report;
 mod local_limits;
 mod model_ref;
@@ -48,11 +49,12 @@
 pub use fleet_stats::{Epoch, FleetStats, FleetStatsChange, SamplingParams, VersionFlags};
 pub use geometric_mean::GeometricMean;
 pub use kind_key::KindKey;
+pub use limit_change::{LimitChange, LimitKnowledge, LimitSource};
 pub use limit_report::{
     HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, ServerPace,
     TokenCount, TurnPlace, WarmingServers,
 };
-pub use local_limits::{Admission, LocalLimits, SendToken};
+pub use local_limits::{Admission, LocalLimits, SendToken, TokenSource};
 pub use model_ref::ModelRef;
 pub use own_share::OwnShare;
 pub use paced_bucket::PacedBucket;
