Keep a limit while a reading of the VM list leaves its server out

Cause: a limit ended without its server's word. A router forgot it when one reading of the VM list left the server out; so did the leader, which then told every router that asked for tokens that there was no limit, and all calls that waited went out at once. The class: what one source doesn't mention was taken for news from another. Change: both keep a limit until its server has been unlisted for 60 s.

--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -315,7 +315,7 @@
         F: Fn(&VmName) -> bool,
     {
         let mut inner = self.lock();
-        inner.local.retain(&is_listed);
+        inner.local.retain(since_start(), &is_listed);
         inner.log_changes();
         inner.logged.retain(|server, _| is_listed(server));
         self.update_count(&inner);
--- a/src/policy/local_limits.rs
+++ b/src/policy/local_limits.rs
@@ -26,6 +26,9 @@
 const NEWS_CHANGE: f64 = 0.1;
 /// How long the largest number of routers is remembered: a new leader counts them only bit by bit.
 const FLEET_TTL: Duration = Duration::from_secs(10);
+/// How long a limit is kept while its server is not in the VM list: a reading of the list may leave out
+/// servers that are there, and a server that comes back is still limited.
+pub const UNLISTED_TTL: Duration = Duration::from_secs(60);
 /// Changes that are kept for the log.
 const MAX_CHANGES: usize = 64;
 
@@ -64,6 +67,8 @@
     share: OwnShare,
     /// What the leader said of the pace of its tokens: a second, for this router.
     pace: Option<f64>,
+    /// Since when the server is not in the VM list.
+    unlisted_since: Option<Duration>,
 }
 
 /// Whether a request may be sent to a server.
@@ -108,6 +113,7 @@
             wanted_at: now,
             share: OwnShare::default(),
             pace: None,
+            unlisted_since: None,
         }
     }
 
@@ -347,12 +353,16 @@
         if is_new_leader {
             self.servers.values_mut().for_each(|known| known.unreported = true);
         }
+        // A leader that tells of no limit though nothing has changed for it has not heard of this one.
+        let is_unheard = news.position == self.position;
         self.position = news.position;
+        let mut has_unheard = false;
         let age = now.saturating_sub(asked_at);
         for KnownLimit { server, limit } in &news.limits {
             let known = self.servers.get(server).filter(|known| !known.has_ended);
             let state = match (known, limit) {
                 (Some(known), _) if known.unreported => None,
+                (Some(_), None) if is_unheard => None,
                 (Some(known), Some(limit)) if known.limit == *limit => None,
                 (_, Some(limit)) => Some(LimitKnowledge::Named(*limit)),
                 (Some(_), None) => Some(LimitKnowledge::Ended),
@@ -365,6 +375,9 @@
                 // What this router has heard since is newer.
                 (Some(known), _) if known.unreported => {}
                 (Some(known), Some(limit)) => known.set_limit(*limit),
+                (Some(known), None) if is_unheard => {
+                    (known.unreported, has_unheard) = (true, true);
+                }
                 (Some(_), None) => {
                     self.servers.remove(server);
                 }
@@ -386,20 +399,26 @@
                 known.pace = Some(rate / f64::from((*routers).max(1)));
             }
         }
-        is_new_leader && !self.servers.is_empty()
+        has_unheard || (is_new_leader && !self.servers.is_empty())
     }
 
-    /// Forgets servers that are no longer in the VM list.
-    pub fn retain<F>(&mut self, is_listed: F)
+    /// Forgets servers that have not been in the VM list for long.
+    pub fn retain<F>(&mut self, now: Duration, is_listed: F)
     where
         F: Fn(&VmName) -> bool,
     {
-        let gone: Vec<VmName> =
-            self.servers.keys().filter(|server| !is_listed(server)).cloned().collect();
-        for server in gone {
+        let mut gone = Vec::new();
+        for (server, known) in &mut self.servers {
+            let is_listed = is_listed(server);
+            let since = known.unlisted_since.filter(|_| !is_listed).unwrap_or(now);
+            known.unlisted_since = (!is_listed).then_some(since);
+            if now >= since + UNLISTED_TTL {
+                gone.push((server.clone(), now.saturating_sub(since)));
+            }
+        }
+        for (server, age) in gone {
             self.servers.remove(&server);
-            let state = LimitKnowledge::Forgotten;
-            self.note(&server, state, LimitSource::VmList, Duration::ZERO);
+            self.note(&server, LimitKnowledge::Forgotten, LimitSource::VmList, age);
         }
         self.warm_ups.retain(is_listed);
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -54,7 +54,7 @@
     HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, ServerPace,
     TokenCount, TurnPlace, WarmingServers,
 };
-pub use local_limits::{Admission, LocalLimits, SendToken, TokenSource};
+pub use local_limits::{Admission, LocalLimits, SendToken, TokenSource, UNLISTED_TTL};
 pub use model_ref::ModelRef;
 pub use own_share::OwnShare;
 pub use paced_bucket::PacedBucket;
--- a/src/policy/shared_limits.rs
+++ b/src/policy/shared_limits.rs
@@ -4,7 +4,7 @@
 
 use super::{
     HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, PacedBucket,
-    ServerPace, TokenCount, TurnPlace, WarmingServers,
+    ServerPace, TokenCount, TurnPlace, UNLISTED_TTL, WarmingServers,
 };
 use crate::control::RouterId;
 use crate::name::VmName;
@@ -58,6 +58,8 @@
     /// When the newest news of it was true, later by `MAX_AGE`.
     heard_at: Duration,
     bucket: PacedBucket,
+    /// Since when the server is not in the VM list.
+    unlisted_since: Option<Duration>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -137,7 +139,9 @@
             (None, Some(limit)) if has_room => {
                 let bucket = PacedBucket::new(now, limit);
                 let state = LimitState::Named;
-                let known = SharedLimit { state, told: limit, heard_at: at, bucket };
+                let unlisted_since = None;
+                let known =
+                    SharedLimit { state, told: limit, heard_at: at, bucket, unlisted_since };
                 self.servers.insert(heard.server.clone(), known);
                 self.version += 1;
             }
@@ -339,9 +343,15 @@
                 news = true;
             }
         }
-        self.servers.retain(|name, server| match server.state {
-            LimitState::Ended(since) => now < since + ENDED_TTL,
-            LimitState::Named | LimitState::Rising(_) => is_listed(name),
+        // One reading of the list may leave out servers that are there.
+        self.servers.retain(|name, server| {
+            let is_listed = is_listed(name);
+            let since = server.unlisted_since.filter(|_| !is_listed).unwrap_or(now);
+            server.unlisted_since = (!is_listed).then_some(since);
+            match server.state {
+                LimitState::Ended(since) => now < since + ENDED_TTL,
+                LimitState::Named | LimitState::Rising(_) => now < since + UNLISTED_TTL,
+            }
         });
         self.version += u64::from(news);
         news
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -2,395 +2,30 @@
 //! routers are played on virtual time, without network, against two simple ways: equal parts of each
 //! limit, and each router by itself.
 
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64Mcg;
+mod limit_play;
+
+use limit_play::{ANSWER_MS, Day, LENGTH_MS, Play, Policy, Trouble, server};
 use rstest::rstest;
 use samphireshift::control::RouterId;
 use samphireshift::name::VmName;
-use samphireshift::policy::{
-    Admission, HeardLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, LocalLimits,
-    SharedLimits,
-};
-use std::collections::VecDeque;
+use samphireshift::policy::{HeardLimit, LimitDemand, SharedLimits};
 use std::time::Duration;
 
 const SEEDS: u64 = 3;
-const STEP_MS: u64 = 5;
-const LENGTH_MS: u64 = 40_000;
-/// From when on the users' rule counts, and its window.
-const GRACE_MS: u64 = 3_000;
-const WINDOW_MS: u64 = 4_000;
-/// One way between a router and the leader.
-const DELAY_MS: u64 = 3;
-/// The shortest interval between two reports of a router, and the longest that an answer is delayed
-/// with and without asks.
-const REPORT_MS: u64 = 20;
-const HOLD_MS: (u64, u64) = (25, 1_000);
-/// Larger fleets are kept waiting for longer, as `daemon/server_limits.rs` does.
-const ROUTERS_PER_HOLD: u64 = 16;
-const MAX_ASK_HOLD_MS: u64 = 300;
-/// After how long a router gives up an exchange.
-const TIMEOUT_MS: u64 = 1_500;
-/// The time from a request to the head of its answer.
-const ANSWER_MS: u64 = 10;
-/// How long a call waits for a token.
-const PATIENCE_MS: u64 = 1_500;
 /// The least part of a limit that is to be used where there is demand.
 const USED: f64 = 0.9;
 /// The same on days with times without a leader or without some of the routers.
 const USED_IN_TROUBLE: f64 = 0.5;
 
-/// What happens on a day.
-#[derive(Debug, Clone, Copy)]
-struct Day {
-    routers: usize,
-    servers: usize,
-    /// Requests a second that each server takes.
-    limit: f64,
-    /// Calls a second to all routers together.
-    calls: f64,
-    /// The number of routers that get calls; they change every ten seconds.
-    busy: usize,
-    trouble: Trouble,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Trouble {
-    Nothing,
-    /// A new leader, which knows nothing, after a time without any.
-    NewLeader,
-    /// Some routers do not reach the leader for a time, but still the servers.
-    CutOff(usize),
-    /// Some routers stand still for a time.
-    Frozen(usize),
-    /// Some routers start anew.
-    Restarted(usize),
-    /// The limit falls to a third, rises to three times as much, and ends.
-    Changes,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Policy {
-    Shared,
-    EqualParts,
-    EachByItself,
-}
-
-/// An exchange of a router with the leader.
-#[derive(Debug)]
-struct Exchange {
-    asked_at: u64,
-    /// When the answer has to leave at the latest; `None` until the report has arrived.
-    held_until: Option<u64>,
-    known: LimitPosition,
-    demand: LimitDemand,
-    /// When the answer arrives.
-    answer: Option<(u64, LimitNews)>,
-}
-
-struct Router {
-    id: RouterId,
-    local: LocalLimits,
-    /// When each waiting call arrived.
-    waiting: VecDeque<u64>,
-    exchange: Option<Exchange>,
-    next_report: u64,
-    has_news: bool,
-    /// Buckets of the simple policies.
-    buckets: Vec<f64>,
-    stopped_until: u64,
-    cut_until: u64,
-    /// Bytes that were exchanged with the leader.
-    bytes: usize,
-}
-
-struct Play {
-    day: Day,
-    policy: Policy,
-    random: Pcg64Mcg,
-    now: u64,
-    leader: SharedLimits,
-    term: u64,
-    leaderless_until: u64,
-    routers: Vec<Router>,
-    /// Requests under way: when they were sent, by which run of which router, and the server.
-    answers: VecDeque<(u64, usize, u64, usize)>,
-    /// When requests reached each server.
-    arrivals: Vec<Vec<u64>>,
-    /// The limit of each moment, in the order of time; infinite where there is none.
-    limits: Vec<(u64, f64)>,
-}
-
-fn at(millis: u64) -> Duration {
-    Duration::from_millis(millis + 1_000)
-}
-
-/// The bytes of a message.
-fn encoded<T>(message: &T) -> usize
-where
-    T: serde::Serialize,
-{
-    postcard::to_stdvec(message).expect("messages serialise").len()
-}
-
-fn server(index: usize) -> VmName {
-    VmName::new(format!("server-{index}"))
-}
-
-impl Play {
-    fn new(day: Day, policy: Policy, seed: u64) -> Self {
-        let mut random = Pcg64Mcg::seed_from_u64(seed);
-        let routers = (0..day.routers).map(|index| Router::new(index, 0, day, random.random()));
-        let routers: Vec<Router> = routers.collect();
-        Self {
-            day,
-            policy,
-            random,
-            now: 0,
-            leader: SharedLimits::new(1),
-            term: 1,
-            leaderless_until: 0,
-            routers,
-            answers: VecDeque::new(),
-            arrivals: vec![Vec::new(); day.servers],
-            limits: vec![(0, day.limit)],
-        }
-    }
-
-    fn run(mut self) -> Self {
-        while self.now < LENGTH_MS {
-            self.now += STEP_MS;
-            self.trouble();
-            self.calls();
-            self.answers();
-            for index in 0..self.day.routers {
-                if self.now >= self.routers[index].stopped_until {
-                    self.send(index);
-                    self.exchange(index);
-                }
-            }
-            if self.now.is_multiple_of(1_000) {
-                self.leader.expire(at(self.now), |_| true);
-            }
-        }
-        self
-    }
-
-    fn limit(&self) -> f64 {
-        self.limits.last().expect("there is a first limit").1
-    }
-
-    fn trouble(&mut self) {
-        let some = |count: usize| 0..count;
-        match (self.now, self.day.trouble) {
-            (10_000 | 20_000, Trouble::NewLeader) => {
-                self.term += 1;
-                self.leader = SharedLimits::new(self.term);
-                self.leaderless_until = self.now + 1_200;
-                self.routers.iter_mut().for_each(|router| router.exchange = None);
-            }
-            (10_000 | 22_000, Trouble::CutOff(count)) => {
-                for index in some(count) {
-                    self.routers[index].cut_until = self.now + 5_000;
-                    self.routers[index].exchange = None;
-                }
-            }
-            (10_000 | 22_000, Trouble::Frozen(count)) => {
-                for index in some(count) {
-                    self.routers[index].stopped_until = self.now + 5_000;
-                }
-            }
-            (10_000 | 12_000 | 22_000, Trouble::Restarted(count)) => {
-                for index in some(count) {
-                    let phase = self.random.random();
-                    self.routers[index] = Router::new(index, self.now, self.day, phase);
-                }
-            }
-            (10_000, Trouble::Changes) => self.limits.push((self.now, self.day.limit / 3.0)),
-            (20_000, Trouble::Changes) => self.limits.push((self.now, self.day.limit * 3.0)),
-            (30_000, Trouble::Changes) => self.limits.push((self.now, f64::INFINITY)),
-            _ => {}
-        }
-    }
-
-    /// Calls arrive at the busy routers.
-    fn calls(&mut self) {
-        let expected = self.day.calls * STEP_MS as f64 / 1e3;
-        let count = expected as usize + usize::from(self.random.random_bool(expected.fract()));
-        let first = (self.now / 10_000) as usize * self.day.busy;
-        for _ in 0..count {
-            let index = (first + self.random.random_range(0..self.day.busy)) % self.day.routers;
-            if self.now >= self.routers[index].stopped_until {
-                self.routers[index].waiting.push_back(self.now);
-            }
-        }
-    }
-
-    /// Sends the waiting calls that may be sent.
-    fn send(&mut self, index: usize) {
-        let (now, first) = (self.now, self.random.random_range(0..self.day.servers));
-        let parts = if self.policy == Policy::EqualParts { self.day.routers as f64 } else { 1.0 };
-        let rate = self.limit() / parts;
-        let router = &mut self.routers[index];
-        router.waiting.retain(|arrived| now < arrived + PATIENCE_MS);
-        for bucket in &mut router.buckets {
-            *bucket = (*bucket + rate * STEP_MS as f64 / 1e3).min(1.0 + rate / 4.0);
-        }
-        while let Some(arrived) = router.waiting.pop_front() {
-            let mut servers = (0..self.day.servers).map(|i| (first + i) % self.day.servers);
-            let Some(server) = servers.find(|server| router.may_send(now, *server, self.policy))
-            else {
-                router.waiting.push_front(arrived);
-                return;
-            };
-            self.arrivals[server].push(now);
-            self.answers.push_back((now, index, router.id.run, server));
-        }
-    }
-
-    /// Answers arrive, which name the limit.
-    fn answers(&mut self) {
-        while let Some((sent_at, index, run, name)) = self.answers.front().copied()
-            && sent_at + ANSWER_MS <= self.now
-        {
-            self.answers.pop_front();
-            let limit = Some(self.limit()).filter(|limit| limit.is_finite());
-            let router = &mut self.routers[index];
-            if router.id.run == run && self.now >= router.stopped_until {
-                router.has_news |=
-                    router.local.hear(at(self.now), at(sent_at), &server(name), limit);
-            }
-        }
-    }
-
-    /// The exchange of a router with the leader, as far as it is due.
-    fn exchange(&mut self, index: usize) {
-        let now = self.now;
-        let router = &mut self.routers[index];
-        let reaches_leader = now >= router.cut_until && now >= self.leaderless_until;
-        let Some(exchange) = &mut router.exchange else {
-            if now >= router.next_report && reaches_leader {
-                router.begin_exchange(now, self.day);
-            }
-            return;
-        };
-        let asks = !exchange.demand.asks.is_empty();
-        let is_interrupted = !asks && (router.has_news || !router.waiting.is_empty());
-        if now >= exchange.asked_at + TIMEOUT_MS || !reaches_leader || is_interrupted {
-            router.exchange = None;
-            router.next_report = now + REPORT_MS;
-            return;
-        }
-        if let Some((arrives_at, news)) = &exchange.answer {
-            if now >= *arrives_at {
-                router.has_news |= router.local.apply(at(now), at(exchange.asked_at), news);
-                router.exchange = None;
-                router.next_report = now + REPORT_MS;
-            }
-            return;
-        }
-        if now < exchange.asked_at + DELAY_MS {
-            return;
-        }
-        let held_until = *exchange.held_until.get_or_insert_with(|| {
-            self.leader.record(at(now), &router.id, &exchange.demand);
-            let factor = (self.day.routers as u64 / ROUTERS_PER_HOLD).max(1);
-            now + if asks { (HOLD_MS.0 * factor).min(MAX_ASK_HOLD_MS) } else { HOLD_MS.1 }
-        });
-        self.leader.distribute(at(now));
-        if now >= held_until || self.leader.has_news(&router.id, exchange.known) {
-            let news = self.leader.answer(at(now), &router.id, exchange.known, &exchange.demand);
-            router.bytes += encoded(&news);
-            exchange.answer = Some((now + DELAY_MS, news));
-        }
-    }
-
-    /// Requests in the window that is worst by the users' rule, beyond what it allows; negative if
-    /// the rule holds.
-    fn excess(&self) -> f64 {
-        let over = |arrivals: &Vec<u64>| {
-            let late: Vec<u64> = arrivals.iter().copied().filter(|at| *at >= GRACE_MS).collect();
-            let worst = late.iter().map(|start| {
-                let count = late.iter().filter(|at| (*start..start + WINDOW_MS).contains(*at));
-                count.count() as f64 - 1.5 * self.allowed(*start, start + WINDOW_MS) - 5.0
-            });
-            worst.fold(f64::NEG_INFINITY, f64::max)
-        };
-        self.arrivals.iter().map(over).fold(f64::NEG_INFINITY, f64::max)
-    }
-
-    /// What one server's limits allow in a span of time; infinite if it has none for a part of it.
-    fn allowed(&self, from: u64, to: u64) -> f64 {
-        let ends = self.limits.iter().skip(1).map(|(at, _)| *at).chain([u64::MAX]);
-        let spans = self.limits.iter().zip(ends);
-        let part = spans.map(|((begin, limit), end)| {
-            let millis = to.min(end).saturating_sub(from.max(*begin));
-            if millis == 0 { 0.0 } else { limit * millis as f64 / 1e3 }
-        });
-        part.sum()
-    }
-
-    /// The part of all limits that was used.
-    fn used(&self) -> f64 {
-        let end = self.limits.last().filter(|(_, limit)| limit.is_infinite());
-        let end = end.map_or(LENGTH_MS, |(at, _)| *at);
-        let count = |arrivals: &Vec<u64>| {
-            arrivals.iter().filter(|at| (GRACE_MS..end).contains(*at)).count()
-        };
-        let arrived: usize = self.arrivals.iter().map(count).sum();
-        arrived as f64 / (self.allowed(GRACE_MS, end) * self.day.servers as f64)
-    }
-}
-
-impl Router {
-    fn new(index: usize, run: u64, day: Day, phase: f64) -> Self {
-        let mut local = LocalLimits::new(phase);
-        local.set_fleet(at(run), day.routers as u32);
-        Self {
-            id: RouterId { vm: VmName::new(format!("router-{index}")), run },
-            local,
-            waiting: VecDeque::new(),
-            exchange: None,
-            next_report: run,
-            has_news: false,
-            buckets: vec![0.0; day.servers],
-            stopped_until: 0,
-            cut_until: 0,
-            bytes: 0,
-        }
-    }
-
-    fn may_send(&mut self, now: u64, index: usize, policy: Policy) -> bool {
-        if policy == Policy::Shared {
-            let name = server(index);
-            return match self.local.admission(at(now), &name) {
-                Admission::Free => true,
-                Admission::Ready => self.local.take(at(now), &name).is_some(),
-                Admission::Dry => false,
-            };
-        }
-        let has_token = self.buckets[index] >= 1.0;
-        self.buckets[index] -= f64::from(u8::from(has_token));
-        has_token
-    }
-
-    fn begin_exchange(&mut self, now: u64, day: Day) {
-        let servers = (0..day.servers).map(server).collect();
-        let count = self.waiting.len() as u32;
-        let newest = self.waiting.back().copied().unwrap_or(0);
-        let lasts = Duration::from_millis((newest + PATIENCE_MS).saturating_sub(now));
-        let ask = LimitAsk { servers, count, rank: 5, lasts };
-        let asks = if count > 0 { vec![ask] } else { Vec::new() };
-        self.has_news = false;
-        let (known, demand) = (self.local.position(), self.local.report(at(now), asks));
-        self.bytes += encoded(&(&self.id, known, &demand));
-        self.exchange =
-            Some(Exchange { asked_at: now, held_until: None, known, demand, answer: None });
-    }
-}
-
-const FEW: Day =
-    Day { routers: 6, servers: 2, limit: 1.6, calls: 20.0, busy: 6, trouble: Trouble::Nothing };
+const FEW: Day = Day {
+    routers: 6,
+    servers: 2,
+    limit: 1.6,
+    calls: 20.0,
+    busy: 6,
+    trouble: Trouble::Nothing,
+    answer_ms: ANSWER_MS,
+};
 const MANY: Day = Day { routers: 30, servers: 2, limit: 2.0, calls: 60.0, busy: 30, ..FEW };
 const HUGE: Day = Day { routers: 191, servers: 1, limit: 20.0, calls: 200.0, busy: 191, ..FEW };
 
@@ -421,6 +56,10 @@
 #[case::frozen(Trouble::Frozen(2))]
 #[case::restarted(Trouble::Restarted(3))]
 #[case::changes(Trouble::Changes)]
+// Guards against a limit that is forgotten since one reading of the VM list, by routers or by the leader,
+// leaves its server out: all calls that waited went out at once (LIMIT).
+#[case::unlisted(Trouble::Unlisted)]
+#[case::unlisted_at_leader(Trouble::UnlistedAtLeader)]
 fn the_limit_holds_in_trouble(#[case] trouble: Trouble) {
     let fast = Day { limit: 12.0, calls: 200.0, ..FEW };
     for (day, seed) in
