Let only a server's own answer end its limit

Cause: what an answer says of its server was taken in before the answer was checked. A late copy of an older answer, which belongs to another call and names no limit, ended the limit, and all routers sent freely. Change: the limit, load, leaving and pauses are read from an answer only once it is known not to belong to another call, and a limit ends only by an answer that is signed and names the call (gateway/server_news.rs).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,7 +2,6 @@
 
 use super::Gateway;
 use super::accepted_call::Call;
-use super::brittle_servers::named_limit;
 use super::hop::HOP;
 use super::hop_account::ALLOWANCE;
 use super::part_watch::RunRecord;
@@ -13,7 +12,7 @@
 use super::server_selection::SelectedServer;
 use super::server_table::{InFlightCall, ServerState};
 use super::tallies::{CallOutcome, CallRecorder};
-use super::{ForwardedHead, NamedLimit, ResponseHead};
+use super::{ForwardedHead, ResponseHead};
 use crate::backend::{BackendBody, ByteBudget, PooledConnection, SendError};
 use crate::policy::Helper;
 use bytes::Bytes;
@@ -242,31 +241,12 @@
             }
         };
         let head = self.gateway.format.parse_response(response.headers());
-        if let Some(load) = head.load {
-            server.record_load(load);
-        }
-        if head.leaving && self.gateway.servers.mark_leaving(&server.vm) {
-            log::info!("call {}: server {} says that it is leaving", self.log_id(), server.vm.name);
-        }
-        // Another server may have taken over the address.
-        if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            let limit = named_limit(&server, &head, response.status());
-            if let NamedLimit::PerSecond(_) = limit {
-                permit.limit_named();
-            }
-            self.gateway.limits.hear(&server.vm.name, limit, sent_at);
-        }
-        let declines = response.status() == StatusCode::SERVICE_UNAVAILABLE
-            || response.status() == StatusCode::TOO_MANY_REQUESTS;
-        if let Some(wait) = head.retry_after.filter(|_| declines) {
-            let (id, wait_ms) = (self.log_id(), wait.as_millis());
-            log::info!("call {id}: server {} asks for a pause of {wait_ms} ms", server.vm.name);
-            server.back_off(wait);
-        }
+        // Nothing that it says is news of the server: it may be the late copy of an older answer.
         let is_other_call = head.id.is_some() && self.head.id.is_some() && head.id != self.head.id;
         if is_other_call {
             return SendOutcome::Lost("the response belongs to another call".to_owned());
         }
+        self.hear(&server, &response, &head, &permit, sent_at);
         let names_no_call = head.id.is_none() && self.head.id.is_some();
         if names_no_call
             && !head.not_executed
@@ -379,8 +359,8 @@
 }
 
 /// Why a response cannot be the server's own; `None` if it can.
-pub(super) fn invalid_reason(
-    response: &Response<BackendBody>,
+pub(super) fn invalid_reason<B>(
+    response: &Response<B>,
     head: &ResponseHead,
 ) -> Option<&'static str> {
     if response.headers().contains_key(header::CONTENT_ENCODING) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod route_permit;
 mod run;
 mod server_limits;
+mod server_news;
 mod server_selection;
 mod server_table;
 mod sessions;
