Raise or end a limit only by a call that was sent after it was heard

Change: a lower limit holds at once; a higher one, as before only an end, counts if its call was sent after the limit was heard, and is reported with that age. The leader may drop such news as older than another router's; one more answer that confirms it reports it again, so that no limit stays low. An end heard while a report is under way is no longer taken for reported.

--- a/src/policy/local_limits.rs
+++ b/src/policy/local_limits.rs
@@ -53,8 +53,16 @@
 #[derive(Debug)]
 struct LocalLimit {
     limit: f64,
-    /// When the newest news of it was true.
+    /// When the server last named this limit or a lower one: what was sent before and tells of more
+    /// may be older.
     heard_at: Duration,
+    /// Since when at the earliest what is known is true.
+    said_at: Duration,
+    /// When that changed last.
+    changed_at: Duration,
+    /// When more was heard of, until another answer confirms it: the leader may have heard from
+    /// another router that it is older than what that one heard.
+    unconfirmed: Option<Duration>,
     /// Whether the server has named no limit since then.
     has_ended: bool,
     /// Whether the leader has not yet been told of the newest news.
@@ -106,6 +114,9 @@
         Self {
             limit,
             heard_at,
+            said_at: heard_at,
+            changed_at: now,
+            unconfirmed: None,
             has_ended: false,
             unreported: false,
             tokens: VecDeque::new(),
@@ -125,6 +136,54 @@
         self.has_ended = false;
     }
 
+    /// Takes in what an answer says that names a limit. Returns whether the leader has to know at once.
+    fn hear(&mut self, now: Duration, sent_at: Duration, limit: f64) -> bool {
+        let is_higher = !self.has_ended && limit > self.limit;
+        // An answer to an older call may have been overtaken by one that names less.
+        if is_higher && sent_at <= self.heard_at {
+            return false;
+        }
+        if !self.has_ended && limit == self.limit {
+            self.heard_at = now;
+            return self.confirm(now, sent_at);
+        }
+        let is_news = self.has_ended || (limit - self.limit).abs() > NEWS_CHANGE * self.limit;
+        self.set_limit(limit);
+        if !is_higher {
+            self.heard_at = now;
+        }
+        (self.said_at, self.changed_at) = (if is_higher { sent_at } else { now }, now);
+        self.unconfirmed = is_higher.then_some(now);
+        self.unreported = true;
+        is_news
+    }
+
+    /// Takes in an answer that names no limit.
+    fn hear_none(&mut self, now: Duration, sent_at: Duration) -> bool {
+        if self.has_ended {
+            return self.confirm(now, sent_at);
+        }
+        // An answer to an older call may have been on its way when the limit was named.
+        if sent_at <= self.heard_at {
+            return false;
+        }
+        (self.has_ended, self.unreported) = (true, true);
+        (self.said_at, self.changed_at) = (sent_at, now);
+        self.unconfirmed = Some(now);
+        true
+    }
+
+    /// Reports what is known once more if it was said again since it was heard first.
+    fn confirm(&mut self, now: Duration, sent_at: Duration) -> bool {
+        let is_confirmed = self.unconfirmed.is_some_and(|since| sent_at > since);
+        if is_confirmed {
+            self.unconfirmed = None;
+            (self.said_at, self.changed_at) = (sent_at, now);
+            self.unreported = true;
+        }
+        is_confirmed
+    }
+
     fn drop_expired(&mut self, now: Duration) {
         while self.tokens.front().is_some_and(|expires_at| *expires_at <= now) {
             self.tokens.pop_front();
@@ -162,28 +221,19 @@
         limit: Option<f64>,
     ) -> bool {
         let limit = limit.filter(|limit| *limit < MAX_LIMIT);
-        let (is_news, state) = match (self.servers.get_mut(server), limit) {
-            (Some(known), Some(limit)) => {
-                let changed =
-                    known.has_ended || (limit - known.limit).abs() > NEWS_CHANGE * known.limit;
-                known.unreported |= known.has_ended || limit != known.limit;
-                known.heard_at = now;
-                known.set_limit(limit);
-                (changed, LimitKnowledge::Named(limit))
-            }
-            (None, Some(limit)) => {
-                let known = LocalLimit { unreported: true, ..LocalLimit::new(now, limit, now) };
-                self.servers.insert(server.clone(), known);
-                (true, LimitKnowledge::Named(limit))
-            }
-            // An answer to an older call may have been on its way when the limit was named.
-            (Some(known), None) if !known.has_ended && sent_at > known.heard_at => {
-                known.heard_at = sent_at;
-                (known.has_ended, known.unreported) = (true, true);
-                (true, LimitKnowledge::Ended)
-            }
-            (_, None) => return false,
+        let Some(known) = self.servers.get_mut(server) else {
+            let Some(limit) = limit else { return false };
+            let known = LocalLimit { unreported: true, ..LocalLimit::new(now, limit, now) };
+            self.servers.insert(server.clone(), known);
+            let age = now.saturating_sub(sent_at);
+            self.note(server, LimitKnowledge::Named(limit), LimitSource::Answer, age);
+            return true;
+        };
+        let is_news = match limit {
+            Some(limit) => known.hear(now, sent_at, limit),
+            None => known.hear_none(now, sent_at),
         };
+        let state = limit.map_or(LimitKnowledge::Ended, LimitKnowledge::Named);
         if is_news {
             self.note(server, state, LimitSource::Answer, now.saturating_sub(sent_at));
         }
@@ -317,7 +367,7 @@
         let heard = |(name, known): (&VmName, &LocalLimit)| HeardLimit {
             server: name.clone(),
             limit: (!known.has_ended).then_some(known.limit),
-            age: now.saturating_sub(known.heard_at),
+            age: now.saturating_sub(known.said_at),
         };
         let unreported = self.servers.iter().filter(|(_, known)| known.unreported);
         let heard = unreported.map(heard).collect();
@@ -346,7 +396,7 @@
             self.warm_ups.replace(now, warming, news.place, fleet);
         }
         for known in self.servers.values_mut() {
-            known.unreported &= known.heard_at > asked_at;
+            known.unreported &= known.changed_at > asked_at;
             known.share = OwnShare::default();
         }
         let is_new_leader = news.position.term != self.position.term;
