Take in a limit that comes by way of another router

Cause: a router that passes a call on gave the response with the server's limit to its caller, and didn't take the limit in itself; once its own path was back, it sent that server freely until the leader told it (LIMIT counts each machine that has passed on such an answer). Change: the account names the server that answered, so the first router hears its limit, too. An end of a limit is left to the router that sent the call.

--- a/src/gateway/pass_on.rs
+++ b/src/gateway/pass_on.rs
@@ -1,5 +1,6 @@
 //! Passes a call on to another router, where this one does not reach the servers.
 
+use super::NamedLimit;
 use super::accepted_call::{AttemptHistory, Call, MAX_ENDED_SERVERS};
 use super::exchange::{Exchange, SendOutcome, invalid_reason};
 use super::hop::{Hop, REFUSED};
@@ -58,6 +59,7 @@
         };
         if let Some(account) = HopAccount::take(response.headers_mut()) {
             self.settle(history, &allowance, &account);
+            self.hear_limit(&response, &account, sent_at);
             // That router is sound: it may be passed the call again.
             history.servers.retain(|name| *name != helper.vm);
         }
@@ -94,6 +96,18 @@
         history.servers.extend(account.servers.iter().cloned());
     }
 
+    /// Takes in the limit that the response of the last server names. That it names none is for the other
+    /// router to judge.
+    fn hear_limit<B>(&self, response: &Response<B>, account: &HopAccount, sent_at: Instant) {
+        let head = self.gateway.format.parse_response(response.headers());
+        let is_own = head.id == self.head.id && !response.headers().contains_key(REFUSED);
+        if let (true, NamedLimit::PerSecond(_), Some(server)) =
+            (is_own, head.limit, account.servers.last())
+        {
+            self.gateway.limits.hear(server, head.limit, sent_at);
+        }
+    }
+
     fn response_of_helper(
         &self,
         helper: &Helper,
