Keep a server's pause while a reading of the VM list leaves it out

The cause of forgotten limits, looked for elsewhere: a server that had asked for a pause (503 with Retry-After) and was left out of one reading of the VM list came back without its pause, and got requests before its end (BUDGET). Change: what a server has asked for is kept until the pause ends, listed or not.

--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -231,6 +231,9 @@
     known: bool,
     pools: HashMap<PoolName, Vec<Arc<ServerState>>>,
     leaving: LeavingServers,
+    /// Servers that are not in the list but have asked for a pause that has not ended: one reading of the
+    /// list may leave out servers that are there.
+    pausing: Vec<Arc<ServerState>>,
 }
 
 impl ServerTable {
@@ -248,8 +251,9 @@
             vms.iter().filter(|vm| vm.state == VmState::Live).map(|vm| &vm.name).collect();
         list.leaving.update(Instant::now(), |server| live.contains(server));
         let known = std::mem::take(&mut list.pools);
+        let known = known.into_values().flatten().chain(std::mem::take(&mut list.pausing));
         let known: HashMap<VmName, Arc<ServerState>> =
-            known.into_values().flatten().map(|server| (server.vm.name.clone(), server)).collect();
+            known.map(|server| (server.vm.name.clone(), server)).collect();
         let mut names = HashSet::new();
         for vm in vms.iter().filter(|vm| vm.state == VmState::Live) {
             if !names.insert(&vm.name) || list.leaving.contains(&vm.name) {
@@ -265,6 +269,9 @@
             };
             list.pools.entry(vm.pool.clone()).or_default().push(server);
         }
+        let unlisted = known.into_iter().filter(|(name, _)| !names.contains(name));
+        let pausing = unlisted.filter(|(_, server)| !server.backoff_left().is_zero());
+        list.pausing = pausing.map(|(_, server)| server).collect();
         list.known = true;
     }
 
