Answer the calls that outlast a planned stop before the process ends

A call taken late in the grace, whose server was still at work at its end, was cut with no answer, calls that may not be repeated and streams without an event among them (LOST). Change: at nine tenths of the grace calls without a response get a final one: 502 (may have run), or 503 (not run) if nothing was sent. Streams that have begun are broken off, as before. Not done: calls that can't be finished in what is left are not foreseen and refused; new calls are refused after 0.35 of the grace, as before.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -54,6 +54,14 @@
     let work = try_servers(call, history);
     let served = tokio::select! {
         served = tokio::time::timeout_at(call.deadline.into(), work) => served,
+        // A response tells more than a connection that is closed as the process ends.
+        () = call.gateway.until_ending() => {
+            log::info!("call {}: given up, as this router ends", call.log_id());
+            Ok(Err(match history.sends == sends_before {
+                true => GatewayError::Stopping,
+                false => GatewayError::ResponseLost("this router ends".to_owned()),
+            }))
+        }
         // Dropping the attempt closes its connection: the call may still wait in its server's queue.
         suspect = call.gateway.parts.until_blocked(&call.suspects) => {
             log::info!("call {}: given up, as {suspect} ends servers", call.log_id());
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -23,6 +23,8 @@
 const DRAIN_ACCEPT_FRACTION: f64 = 0.35;
 /// Fraction of the shutdown time after which the process exits, even if calls are still running.
 const DRAIN_END_FRACTION: f64 = 0.93;
+/// Fraction of the shutdown time after which calls that have no response yet get a final one.
+const DRAIN_ANSWER_FRACTION: f64 = 0.9;
 /// How often a router that shuts down checks whether all connections are closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -94,6 +96,9 @@
     gateway.closed.store(true, Ordering::Relaxed);
     close.send_replace(true);
     while connections.count() > 0 && started.elapsed() < limit.mul_f64(DRAIN_END_FRACTION) {
+        if started.elapsed() >= limit.mul_f64(DRAIN_ANSWER_FRACTION) {
+            gateway.ending.send_replace(true);
+        }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     gateway.journal.record(Event::DaemonStopped);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -76,6 +76,8 @@
     pub silence: Mutex<SilenceTracker>,
     /// Whether new calls are rejected.
     pub closed: AtomicBool,
+    /// Whether calls under way are answered now, as the process is about to end.
+    pub ending: watch::Sender<bool>,
     /// Whether the router is shutting down and reports itself as not ready.
     pub draining: AtomicBool,
     /// The number of routers that share the retry budgets.
@@ -107,6 +109,7 @@
             buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
             silence: Mutex::default(),
             closed: AtomicBool::new(false),
+            ending: watch::Sender::new(false),
             draining: AtomicBool::new(false),
             router_count: AtomicU32::new(1),
             route_index: RwLock::default(),
@@ -168,6 +171,13 @@
         let _ = started.wait_for(|started| *started).await;
     }
 
+    /// Waits until calls under way have to be answered, as the process is about to end.
+    pub async fn until_ending(&self) {
+        let mut ending = self.ending.subscribe();
+        // The sender lives as long as this gateway.
+        let _ = ending.wait_for(|ending| *ending).await;
+    }
+
     /// Replaces the VM list.
     pub(super) fn replace_vms(&self, vms: &[Vm]) {
         self.servers.replace_list(vms);
