Count a server that ends behind another router after the head of its response

Cause: the account of a call that is passed on comes with the head of the response; the run of a stream that broke off later was kept nowhere at the first router, so a call that ends its servers could end three of two allowed by way of a hop. Change: the first router counts such an end as its own.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -93,7 +93,8 @@
             recorder: tallies.begin_call(&call.pool, None, &call.route.name, model, 1.0),
             timeout,
             sent_at,
-            run: gateway.passed_on.runs.begin_run(&call.suspects, &Arc::default()),
+            // The account that came with the head does not tell of a server that ends after it.
+            run: gateway.passed_on.runs.begin_run(&call.suspects, &call.ended_servers),
             path: None,
             buffers: gateway.buffers.clone(),
             connection,
