--- a/tests/cut_heads.rs
+++ b/tests/cut_heads.rs
@@ -9,10 +9,10 @@
 use tokio::net::TcpListener;
 
 const HEADS: [&str; 4] = [
-    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nX-Response-Signature: s\r\nContent-Length: 1000\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Attempt-Id: id\r\nX-Response-Signature: s\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: id\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Call: id\r\nX-Signature: s\r\nContent-Length: 1000\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Call: id\r\nX-Signature: s\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Call: id\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Call: id\r\nX-Signature: s\r\nConnection: close\r\n\r\n",
 ];
 const TIMEOUT: Duration = Duration::from_secs(5);
 
