Move the routers of the limits' play into a file of their own

Change: the type Router with its functions stands in tests/limit_play/router.rs; moved unchanged, no check or bound differs. No source of the product changes.

--- a/tests/limit_play/mod.rs
+++ b/tests/limit_play/mod.rs
@@ -3,14 +3,13 @@
 
 #![allow(dead_code, missing_docs, reason = "each test uses a part of it")]
 
+mod router;
+
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use samphireshift::control::RouterId;
+use router::Router;
 use samphireshift::name::VmName;
-use samphireshift::policy::{
-    Admission, LimitAsk, LimitDemand, LimitNews, LimitPosition, LocalLimits, SharedLimits,
-};
-use std::collections::VecDeque;
+use samphireshift::policy::{LimitDemand, LimitNews, LimitPosition, SharedLimits};
 use std::time::Duration;
 
 const STEP_MS: u64 = 5;
@@ -84,7 +83,7 @@
 
 /// An exchange of a router with the leader.
 #[derive(Debug)]
-struct Exchange {
+pub struct Exchange {
     asked_at: u64,
     /// When the answer has to leave at the latest; `None` until the report has arrived.
     held_until: Option<u64>,
@@ -104,22 +103,6 @@
     limit: Option<f64>,
 }
 
-pub struct Router {
-    id: RouterId,
-    local: LocalLimits,
-    /// When each waiting call arrived.
-    waiting: VecDeque<u64>,
-    exchange: Option<Exchange>,
-    next_report: u64,
-    has_news: bool,
-    /// Buckets of the simple policies.
-    buckets: Vec<f64>,
-    stopped_until: u64,
-    cut_until: u64,
-    /// Bytes that were exchanged with the leader.
-    pub bytes: usize,
-}
-
 pub struct Play {
     day: Day,
     policy: Policy,
@@ -392,50 +375,3 @@
     });
     part.sum()
 }
-
-impl Router {
-    fn new(index: usize, run: u64, day: Day, phase: f64) -> Self {
-        let mut local = LocalLimits::new(phase);
-        local.set_fleet(at(run), day.routers as u32);
-        Self {
-            id: RouterId { vm: VmName::new(format!("router-{index}")), run },
-            local,
-            waiting: VecDeque::new(),
-            exchange: None,
-            next_report: run,
-            has_news: false,
-            buckets: vec![0.0; day.servers],
-            stopped_until: 0,
-            cut_until: 0,
-            bytes: 0,
-        }
-    }
-
-    fn may_send(&mut self, now: u64, index: usize, policy: Policy) -> bool {
-        if policy == Policy::Shared {
-            let name = server(index);
-            return match self.local.admission(at(now), &name) {
-                Admission::Free => true,
-                Admission::Ready => self.local.take(at(now), &name).is_some(),
-                Admission::Dry => false,
-            };
-        }
-        let has_token = self.buckets[index] >= 1.0;
-        self.buckets[index] -= f64::from(u8::from(has_token));
-        has_token
-    }
-
-    fn begin_exchange(&mut self, now: u64, day: Day) {
-        let servers = (0..day.servers).map(server).collect();
-        let count = self.waiting.len() as u32;
-        let newest = self.waiting.back().copied().unwrap_or(0);
-        let lasts = Duration::from_millis((newest + PATIENCE_MS).saturating_sub(now));
-        let ask = LimitAsk { servers, count, rank: 5, lasts };
-        let asks = if count > 0 { vec![ask] } else { Vec::new() };
-        self.has_news = false;
-        let (known, demand) = (self.local.position(), self.local.report(at(now), asks));
-        self.bytes += encoded(&(&self.id, known, &demand));
-        self.exchange =
-            Some(Exchange { asked_at: now, held_until: None, known, demand, answer: None });
-    }
-}
