Replace a voter that is told to stop before it ends

Cause: a successor became a voter only once another voter had been silent for `replace_after`. A voter that was told to stop handed its leadership over, but stayed a member; for 2 to 3 s three voters counted of which one would never come back, and the successor held nothing.

Change: a voter that is told to stop says so to the leader of each group (`depart`, protocol version 8) and ends when another one votes in its place and its own removal is committed, or when no VM can take its place, at the latest after half of `[promises] stop`. The word counts for one run of its process. Siblings, found by the new test: a VM whose connection has ended is no candidate, so that a leader doesn't add the one that just left, and a learner that falls silent gives way to another VM instead of holding up the group for `replace_after`. A VM that is removed without SIGTERM is known only by its silence, as before: docs/design/membership.md says why.

--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -179,6 +179,11 @@
         &self.members
     }
 
+    /// Whether the newest membership in the log is known to be committed.
+    pub fn members_committed(&self) -> bool {
+        self.members_index <= self.commit_index
+    }
+
     /// Index of the last entry known to be committed.
     pub fn commit_index(&self) -> u64 {
         self.commit_index
--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -61,34 +61,45 @@
 }
 
 async fn change_members(node: &Node, group: &Group, status: &GroupStatus) {
-    let Some(step) = next_step(node, status) else { return };
+    let Some(step) = node.next_member_step(status) else { return };
     match group.change_members(step.apply(&status.members)).await {
         Ok(()) => node.journal.record(step_event(group, step)),
         Err(error) => log::debug!("{}: members not changed: {error}", group.id()),
     }
 }
 
-fn next_step(node: &Node, status: &GroupStatus) -> Option<MembershipStep> {
-    let is_synced =
-        |(id, matched): &(MemberId, u64)| (*matched >= status.commit_index).then_some(*id);
-    let caught_up: Vec<_> = status.match_indexes.iter().filter_map(is_synced).collect();
-    let view = MembershipView {
-        leader: node.member().id,
-        members: &status.members,
-        caught_up: &caught_up,
-        known_vms: &known_vms(node, status),
-        target_voters: node.settings.target_voters,
-        replace_after: node.settings.replace_after,
-    };
-    view.next_step()
+impl Node {
+    /// The next change of the members of a group that this daemon leads.
+    pub(super) fn next_member_step(&self, status: &GroupStatus) -> Option<MembershipStep> {
+        let is_synced =
+            |(id, matched): &(MemberId, u64)| (*matched >= status.commit_index).then_some(*id);
+        let caught_up: Vec<_> = status.match_indexes.iter().filter_map(is_synced).collect();
+        let view = MembershipView {
+            leader: self.member().id,
+            members: &status.members,
+            caught_up: &caught_up,
+            known_vms: &known_vms(self, status),
+            target_voters: self.settings.target_voters,
+            replace_after: self.settings.replace_after,
+        };
+        view.next_step()
+    }
 }
 
 /// All VMs that this daemon has heard from, itself, and members that it has never heard from.
 fn known_vms(node: &Node, status: &GroupStatus) -> Vec<KnownVm> {
     let now = since_start();
-    let mut all = vec![KnownVm { member: node.member(), joined: true, silent_for: Duration::ZERO }];
+    let connected: BTreeSet<MemberId> =
+        node.cluster.peers().connected().iter().map(|peer| peer.member).collect();
+    let mut all = vec![KnownVm {
+        member: node.member(),
+        available: true,
+        silent_for: Duration::ZERO,
+        leaving: false,
+    }];
     for (identity, heard) in node.cluster.peers().last_heard() {
-        let PeerIdentity { vm, member: id, data_centre, address, durable, cluster, .. } = identity;
+        let PeerIdentity { vm, member: id, data_centre, address, durable, cluster, run, .. } =
+            identity;
         let acknowledged =
             status.last_contacts.iter().find(|(other, _)| *other == id).map(|(_, at)| *at);
         // A voter that answers pings but not the group's messages counts as silent.
@@ -99,14 +110,16 @@
         let member = Member { id, vm, data_centre, address, durable };
         all.push(KnownVm {
             member,
-            joined: cluster.is_some(),
+            available: cluster.is_some() && connected.contains(&id),
             silent_for: now.saturating_sub(last),
+            leaving: node.departures.contains(id, run),
         });
     }
     for member in status.members.all() {
         if !all.iter().any(|known| known.member.id == member.id) {
             let silent_for = now.saturating_sub(status.leader_since);
-            all.push(KnownVm { member: member.clone(), joined: true, silent_for });
+            let member = member.clone();
+            all.push(KnownVm { member, available: false, silent_for, leaving: false });
         }
     }
     all
--- a/src/daemon/membership_plan.rs
+++ b/src/daemon/membership_plan.rs
@@ -13,10 +13,12 @@
 pub struct KnownVm {
     /// Member id, name, data centre and address of the VM, and whether it has a disk.
     pub member: Member,
-    /// Whether the VM has joined the cluster; only then may it be added to a group.
-    pub joined: bool,
+    /// Whether the VM has joined the cluster and is connected; only then may it be added to a group.
+    pub available: bool,
     /// Time since the VM was last heard from.
     pub silent_for: Duration,
+    /// Whether its process has said that it is to end.
+    pub leaving: bool,
 }
 
 /// A group's membership and the known VMs, as seen by the group's leader.
@@ -68,9 +70,9 @@
 
 impl MembershipView<'_> {
     /// The next step towards the target number of voters, or `None` if no step is needed or safe.
-    /// / A lost voter is replaced before it is removed, so the number of synced copies never falls.
-    /// Diskless voters stay a strict minority, so every majority includes a synced copy. A step is
-    //only / taken if a quorum of the resulting voters is alive.
+    /// A voter that is lost or leaves is replaced before it is removed, so the number of synced copies
+    /// never falls. Diskless voters stay a strict minority, so every majority includes a synced copy. A
+    /// step is only taken if a quorum of the resulting voters is alive.
     pub fn next_step(&self) -> Option<MembershipStep> {
         let step = self
             .resolve_learner()
@@ -83,11 +85,12 @@
         (safe || !votes).then_some(step)
     }
 
-    /// Promotes the learner when it has caught up, or removes it when it is lost. No other step is
-    /// planned while there is a learner.
+    /// Promotes the learner when it has caught up, or removes it when it is lost, or silent while
+    /// another VM can take its place. No other step is planned while there is a learner.
     fn resolve_learner(&self) -> Option<MembershipStep> {
         let learner = self.members.learners.first()?;
-        if self.is_lost(learner) {
+        let gives_way = !self.is_alive(learner) && self.best_candidate().is_some();
+        if self.is_going(learner) || gives_way {
             return Some(MembershipStep::Remove(learner.clone()));
         }
         let ready = self.caught_up.contains(&learner.id);
@@ -110,7 +113,8 @@
         }
         let diskless = || others().find(|m| !m.durable);
         let crowded = || others().max_by_key(|m| self.voters_in(&m.data_centre));
-        let surplus = lost.or_else(diskless).or_else(crowded)?;
+        let leaving = || others().find(|m| self.is_leaving(m));
+        let surplus = lost.or_else(leaving).or_else(diskless).or_else(crowded)?;
         Some(MembershipStep::Remove(surplus.clone()))
     }
 
@@ -122,8 +126,8 @@
         }
         let candidate = self.best_candidate()?;
         let voters = &self.members.voters;
-        let live_durable = voters.iter().filter(|m| m.durable && !self.is_lost(m)).count();
-        let live = voters.iter().filter(|m| !self.is_lost(m)).count();
+        let live_durable = voters.iter().filter(|m| m.durable && !self.is_going(m)).count();
+        let live = voters.iter().filter(|m| !self.is_going(m)).count();
         let useful = match candidate.durable {
             true => live_durable < self.target_voters || self.improves_spread(candidate),
             false => live < self.target_voters,
@@ -135,7 +139,8 @@
     /// voters.
     fn best_candidate(&self) -> Option<&Member> {
         let eligible = |known: &&KnownVm| {
-            known.joined
+            known.available
+                && !known.leaving
                 && known.silent_for < ALIVE_WITHIN
                 && !self.members.contains(known.member.id)
         };
@@ -156,7 +161,7 @@
     }
 
     fn voters_in(&self, data_centre: &DataCentre) -> usize {
-        let here = |m: &&Member| m.data_centre == *data_centre && !self.is_lost(m);
+        let here = |m: &&Member| m.data_centre == *data_centre && !self.is_going(m);
         self.members.voters.iter().filter(here).count()
     }
 
@@ -173,12 +178,22 @@
         self.known_vms.iter().any(|known| silent(known) || reidentified(known))
     }
 
+    fn is_leaving(&self, member: &Member) -> bool {
+        self.known_vms.iter().any(|known| known.member.id == member.id && known.leaving)
+    }
+
+    /// Whether a member is lost, or is about to end.
+    fn is_going(&self, member: &Member) -> bool {
+        self.is_lost(member) || self.is_leaving(member)
+    }
+
     fn keeps_quorum(&self, next: &Members) -> bool {
-        let alive = |m: &&Member| {
-            let known = self.known_vms.iter().find(|known| known.member.id == m.id);
-            known.is_some_and(|known| known.silent_for < ALIVE_WITHIN)
-        };
-        next.voters.iter().filter(alive).count() >= next.quorum()
+        next.voters.iter().filter(|m| self.is_alive(m)).count() >= next.quorum()
+    }
+
+    fn is_alive(&self, member: &Member) -> bool {
+        let known = self.known_vms.iter().find(|known| known.member.id == member.id);
+        known.is_some_and(|known| known.silent_for < ALIVE_WITHIN)
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 //! routers and leaders.
 
 mod deadly_parts;
+mod departures;
 mod helpers;
 mod leader_leases;
 mod leader_pools;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,4 +1,5 @@
 use super::deadly_parts::LeaderParts;
+use super::departures::LeaderDepartures;
 use super::helpers::LeaderHelpers;
 use super::leader_leases::LeaderLeases;
 use super::leader_pools::LeaderPools;
@@ -42,6 +43,8 @@
     pub limits: LeaderLimits,
     /// Where routers are, and which of them do not reach the servers.
     pub helpers: LeaderHelpers,
+    /// The voters that have said that they leave.
+    pub departures: LeaderDepartures,
     /// The configuration and the VM list as distributed to routers.
     pub publisher: Publisher,
     /// Renders the metrics of this process.
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -4,10 +4,10 @@
 use crate::event::{Event, EventQuery};
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
-    EventResponse, HelperRequest, HelperResponse, LeaseRequest, LeaseResponse, LimitReport,
-    LimitResponse, NodeStatus, OperatorRequest, OperatorResponse, PartReport, PartResponse, Peer,
-    PeerIdentity, PostcardCodec, RenewRequest, RenewResponse, SubmitResponse, SuspectReport,
-    SuspectResponse, accept,
+    DepartureRequest, DepartureResponse, EventResponse, HelperRequest, HelperResponse,
+    LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus, OperatorRequest,
+    OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec, RenewRequest,
+    RenewResponse, SubmitResponse, SuspectReport, SuspectResponse, accept,
 };
 use bytes::Bytes;
 use futures::StreamExt;
@@ -87,6 +87,10 @@
         self.0.find_helpers(&request)
     }
 
+    async fn depart(self, _: Context, request: DepartureRequest) -> DepartureResponse {
+        self.0.take_departure(request)
+    }
+
     async fn operate(self, _: Context, request: OperatorRequest) -> OperatorResponse {
         if !self.0.cluster.control().status().leading {
             return OperatorResponse::NotLeader { leader: self.0.leader() };
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -105,6 +105,7 @@
         parts: LeaderParts::default(),
         limits: LeaderLimits::default(),
         helpers: Default::default(),
+        departures: Default::default(),
         publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -79,6 +79,7 @@
     while router.counter.in_flight() > 0 {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
+    node.leave_groups().await;
     node.cluster.groups().for_each(|group| group.transfer_leadership());
     tokio::time::sleep(LEADERSHIP_TRANSFER_WAIT).await;
     operators.close().await;
--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -101,6 +101,7 @@
         parts: LeaderParts::default(),
         limits: LeaderLimits::default(),
         helpers: Default::default(),
+        departures: Default::default(),
         publisher: Publisher::default(),
         metrics,
         stop: tokio::sync::Notify::new(),
@@ -167,6 +168,7 @@
         () = node.stop.notified() => {}
     }
     node.journal.record(Event::DaemonStopping);
+    node.leave_groups().await;
     node.cluster.groups().for_each(|group| group.transfer_leadership());
     tokio::time::sleep(LEADERSHIP_TRANSFER_WAIT).await;
     node.cluster.groups().for_each(|group| group.stop());
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -2,6 +2,7 @@
 //! that no longer respond.
 
 mod cluster;
+mod departure;
 mod handshake;
 mod helper_request;
 mod identity;
@@ -18,6 +19,7 @@
 mod suspect_report;
 
 pub use cluster::{Cluster, Unavailable};
+pub use departure::{DepartureRequest, DepartureResponse};
 pub use handshake::{ConnectedPeer, HandshakeError, accept, connect};
 pub use helper_request::{HelperRequest, HelperResponse};
 pub use identity::PeerIdentity;
--- a/src/peer/peer_links.rs
+++ b/src/peer/peer_links.rs
@@ -93,6 +93,13 @@
         links.filter_map(|link| link.last_heard()).map(|(identity, _)| identity.member).collect()
     }
 
+    /// The protocol version of a VM, if its link is connected.
+    pub fn version_of(&self, vm: &VmName) -> Option<ProtocolVersion> {
+        let links = self.links.read().expect("links lock poisoned");
+        let is_it = |link: &&Arc<Link>| link.identity().is_some_and(|known| known.vm == *vm);
+        links.iter().find(is_it).and_then(|link| link.version())
+    }
+
     /// A client to a VM, if its link is connected.
     pub fn client(&self, vm: &VmName) -> Option<PeerClient> {
         self.find_client(|identity| identity.vm == *vm)
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -25,6 +25,8 @@
     /// Since this version, a router that is passed a call keeps to the allowance that comes with it, and
     /// tells what it has used of it.
     pub const HOP_ACCOUNTS: Self = Self(7);
+    /// Since this version, voters that are told to stop name themselves to the leader, which replaces them.
+    pub const DEPARTURES: Self = Self(8);
     /// The version of this build.
-    pub const CURRENT: Self = Self::HOP_ACCOUNTS;
+    pub const CURRENT: Self = Self::DEPARTURES;
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -3,9 +3,10 @@
 #![allow(missing_docs, reason = "the macro generates undocumented items")]
 
 use super::{
-    EventResponse, HelperRequest, HelperResponse, LeaseRequest, LeaseResponse, LimitReport,
-    LimitResponse, NodeStatus, OperatorRequest, OperatorResponse, PartReport, PartResponse,
-    PeerIdentity, RenewRequest, RenewResponse, SubmitResponse, SuspectReport, SuspectResponse,
+    DepartureRequest, DepartureResponse, EventResponse, HelperRequest, HelperResponse,
+    LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus, OperatorRequest,
+    OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest, RenewResponse,
+    SubmitResponse, SuspectReport, SuspectResponse,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -42,4 +43,6 @@
     /// Returns routers to which calls can be passed on, if this daemon leads the control group. Needs
     /// protocol version 6.
     async fn find_helpers(request: HelperRequest) -> HelperResponse;
+    /// Takes a voter's word that it leaves, if this daemon leads the group. Needs protocol version 8.
+    async fn depart(request: DepartureRequest) -> DepartureResponse;
 }
--- a/tests/membership_plan.rs
+++ b/tests/membership_plan.rs
@@ -35,6 +35,8 @@
     candidates: &'static str,
     /// VMs silent for `REPLACE_AFTER`.
     lost: &'static str,
+    /// VMs that have said that they end.
+    leaving: &'static str,
     /// Whether the learners have the whole log.
     caught_up: bool,
     /// Verb and member of the next step; empty for none.
@@ -43,102 +45,140 @@
 
 #[rstest]
 #[case::grows_with_disks_first(Case {
-    voters: "a1d0", learners: "", candidates: "b1s1 c1d2", lost: "", caught_up: false,
+    voters: "a1d0", learners: "", candidates: "b1s1 c1d2", lost: "", leaving: "", caught_up: false,
     expected: "add c1d2",
 })]
 #[case::grows_where_there_are_fewest_voters(Case {
-    voters: "a1d0 b1d1", learners: "", candidates: "c1d0 d1d1 e1d2", lost: "", caught_up: false,
+    voters: "a1d0 b1d1", learners: "", candidates: "c1d0 d1d1 e1d2", lost: "", leaving: "", caught_up: false,
     expected: "add e1d2",
 })]
 #[case::waits_for_the_learner(Case {
-    voters: "a1d0 b1d1", learners: "c1d2", candidates: "d1d2", lost: "", caught_up: false,
+    voters: "a1d0 b1d1", learners: "c1d2", candidates: "d1d2", lost: "", leaving: "", caught_up: false,
     expected: "",
 })]
 #[case::promotes_the_learner(Case {
-    voters: "a1d0 b1d1", learners: "c1d2", candidates: "", lost: "", caught_up: true,
+    voters: "a1d0 b1d1", learners: "c1d2", candidates: "", lost: "", leaving: "", caught_up: true,
     expected: "promote c1d2",
 })]
 #[case::removes_a_lost_learner(Case {
-    voters: "a1d0 b1d1", learners: "c1d2", candidates: "d1d2", lost: "c", caught_up: true,
+    voters: "a1d0 b1d1", learners: "c1d2", candidates: "d1d2", lost: "c", leaving: "", caught_up: true,
     expected: "remove c1d2",
 })]
 #[case::no_change_when_complete(Case {
-    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "d1d0 e1s1", lost: "", caught_up: false,
+    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "d1d0 e1s1", lost: "", leaving: "", caught_up: false,
     expected: "",
 })]
 #[case::replaces_a_lost_voter(Case {
-    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "d1d0 e1d2", lost: "c", caught_up: false,
+    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "d1d0 e1d2", lost: "c", leaving: "", caught_up: false,
     expected: "add e1d2",
 })]
 #[case::removes_the_lost_voter_last(Case {
-    voters: "a1d0 b1d1 c1d2 e1d2", learners: "", candidates: "d1d0", lost: "c", caught_up: false,
+    voters: "a1d0 b1d1 c1d2 e1d2", learners: "", candidates: "d1d0", lost: "c", leaving: "", caught_up: false,
     expected: "remove c1d2",
 })]
 #[case::keeps_a_lost_voter_without_a_candidate(Case {
-    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "", lost: "c", caught_up: false,
+    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "", lost: "c", leaving: "", caught_up: false,
     expected: "",
 })]
 #[case::adds_a_vm_that_lost_its_disk_as_a_new_member(Case {
-    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "c2d2", lost: "", caught_up: false,
+    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "c2d2", lost: "", leaving: "", caught_up: false,
     expected: "add c2d2",
 })]
 #[case::removes_the_old_incarnation(Case {
-    voters: "a1d0 b1d1 c1d2 c2d2", learners: "", candidates: "", lost: "", caught_up: false,
+    voters: "a1d0 b1d1 c1d2 c2d2", learners: "", candidates: "", lost: "", leaving: "", caught_up: false,
     expected: "remove c1d2",
 })]
 #[case::adds_a_diskless_voter_where_disks_are_too_few(Case {
-    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "e1s2", lost: "c", caught_up: false,
+    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "e1s2", lost: "c", leaving: "", caught_up: false,
     expected: "add e1s2",
 })]
 #[case::no_diskless_voter_beside_a_single_disk(Case {
-    voters: "a1d0", learners: "", candidates: "e1s2", lost: "", caught_up: false, expected: "",
+    voters: "a1d0", learners: "", candidates: "e1s2", lost: "", leaving: "", caught_up: false, expected: "",
 })]
 #[case::promotes_one_diskless_voter_of_three(Case {
-    voters: "a1d0 b1d1", learners: "e1s2", candidates: "", lost: "", caught_up: true,
+    voters: "a1d0 b1d1", learners: "e1s2", candidates: "", lost: "", leaving: "", caught_up: true,
     expected: "promote e1s2",
 })]
 #[case::no_second_diskless_voter_of_three(Case {
-    voters: "a1d0 b1d1 e1s2", learners: "", candidates: "f1s1", lost: "b", caught_up: false,
+    voters: "a1d0 b1d1 e1s2", learners: "", candidates: "f1s1", lost: "b", leaving: "", caught_up: false,
     expected: "",
 })]
 #[case::replaces_a_diskless_voter_by_one_with_a_disk(Case {
-    voters: "a1d0 b1d1 e1s2", learners: "", candidates: "c1d2", lost: "", caught_up: false,
+    voters: "a1d0 b1d1 e1s2", learners: "", candidates: "c1d2", lost: "", leaving: "", caught_up: false,
     expected: "add c1d2",
 })]
 #[case::removes_the_diskless_voter(Case {
-    voters: "a1d0 b1d1 e1s2 c1d2", learners: "", candidates: "", lost: "", caught_up: false,
+    voters: "a1d0 b1d1 e1s2 c1d2", learners: "", candidates: "", lost: "", leaving: "", caught_up: false,
     expected: "remove e1s2",
 })]
 #[case::spreads_over_data_centres(Case {
-    voters: "a1d0 b1d1 c1d1", learners: "", candidates: "d1d2", lost: "", caught_up: false,
+    voters: "a1d0 b1d1 c1d1", learners: "", candidates: "d1d2", lost: "", leaving: "", caught_up: false,
     expected: "add d1d2",
 })]
 #[case::removes_a_voter_from_the_data_centre_with_most(Case {
-    voters: "a1d0 b1d1 c1d1 d1d2", learners: "", candidates: "", lost: "", caught_up: false,
+    voters: "a1d0 b1d1 c1d1 d1d2", learners: "", candidates: "", lost: "", leaving: "", caught_up: false,
     expected: "remove c1d1",
 })]
 #[case::no_promotion_that_leaves_no_quorum_of_live_voters(Case {
-    voters: "a1d0 b1d1 c1d2", learners: "d1d0", candidates: "", lost: "b c", caught_up: true,
+    voters: "a1d0 b1d1 c1d2", learners: "d1d0", candidates: "", lost: "b c", leaving: "", caught_up: true,
     expected: "",
 })]
 #[case::two_lost_of_five_are_removed_without_a_candidate(Case {
-    voters: "a1d0 b1d1 c1d2 d1d0 e1d1", learners: "", candidates: "", lost: "d e", caught_up: false,
+    voters: "a1d0 b1d1 c1d2 d1d0 e1d1", learners: "", candidates: "", lost: "d e", leaving: "", caught_up: false,
     expected: "remove d1d0",
 })]
+#[case::a_successor_is_added_for_a_voter_that_leaves(Case {
+    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "d1d0 e1d2", lost: "", leaving: "c", caught_up: false,
+    expected: "add e1d2",
+})]
+#[case::the_successor_votes_before_the_other_leaves(Case {
+    voters: "a1d0 b1d1 c1d2", learners: "e1d2", candidates: "", lost: "", leaving: "c", caught_up: true,
+    expected: "promote e1d2",
+})]
+#[case::what_leaves_is_removed_and_not_another(Case {
+    voters: "a1d0 b1d1 c1d2 e1d1", learners: "", candidates: "", lost: "", leaving: "c", caught_up: false,
+    expected: "remove c1d2",
+})]
+#[case::what_is_lost_is_removed_before_what_leaves(Case {
+    voters: "a1d0 b1d1 c1d2 e1d1", learners: "", candidates: "", lost: "b", leaving: "c", caught_up: false,
+    expected: "remove b1d1",
+})]
+#[case::what_left_is_not_added_again(Case {
+    voters: "a1d0 b1d1 e1d2", learners: "", candidates: "c1d2", lost: "b", leaving: "c", caught_up: false,
+    expected: "",
+})]
+#[case::a_voter_stays_one_where_nobody_can_take_its_place(Case {
+    voters: "a1d0 b1d1 c1d2", learners: "", candidates: "", lost: "", leaving: "c", caught_up: false,
+    expected: "",
+})]
+#[case::of_five_too(Case {
+    voters: "a1d0 b1d1 c1d2 d1d0 e1d1", learners: "", candidates: "", lost: "", leaving: "d e", caught_up: false,
+    expected: "",
+})]
+#[case::a_learner_that_leaves_is_removed(Case {
+    voters: "a1d0 b1d1 c1d2", learners: "e1d2", candidates: "d1d0", lost: "c", leaving: "e", caught_up: true,
+    expected: "remove e1d2",
+})]
+#[case::a_silent_learner_gives_way(Case {
+    voters: "a1d0 b1d1 c1d2", learners: "e1d2", candidates: "d1d2", lost: "e", leaving: "c", caught_up: false,
+    expected: "remove e1d2",
+})]
 fn next_membership_step(#[case] case: Case) {
     let members =
         Members { voters: member_list(case.voters), learners: member_list(case.learners) };
-    let silent_for =
-        |m: &Member| match case.lost.split_whitespace().any(|vm| *m.vm.to_string() == *vm) {
-            true => REPLACE_AFTER,
-            false => Duration::ZERO,
-        };
+    let is_in = |names: &str, m: &Member| names.split_whitespace().any(|vm| m.vm.as_str() == vm);
+    let silent_for = |m: &Member| match is_in(case.lost, m) {
+        true => REPLACE_AFTER,
+        false => Duration::ZERO,
+    };
+    let known = |m: &Member| KnownVm {
+        member: m.clone(),
+        available: true,
+        silent_for: silent_for(m),
+        leaving: is_in(case.leaving, m),
+    };
     let candidates = member_list(case.candidates);
-    let known_vms: Vec<_> = members
-        .all()
-        .chain(&candidates)
-        .map(|m| KnownVm { member: m.clone(), joined: true, silent_for: silent_for(m) })
-        .collect();
+    let known_vms: Vec<_> = members.all().chain(&candidates).map(known).collect();
     let caught_up: Vec<_> =
         members.learners.iter().filter(|_| case.caught_up).map(|m| m.id).collect();
     let view = MembershipView {
