Keep versions withdrawn whatever roll-out is ordered next

Cause: the replicated state held one roll-out for each pool. The next order took the place of the one that was rolled back, and all versions but the newest target passed for the old one. The same for a version that a completed roll-out had replaced, and for one whose roll-out gave way to another order before it was found good.

Change: the replicated state keeps, for each pool, the version accepted last and those withdrawn, until one is ordered anew.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,10 +1,10 @@
 use super::ticket_history::TicketHistory;
 use super::{
-    BlockedParts, Config, ControlCommand, ControlOutcome, ObjectName, PoolRollout, Rollout,
-    RouteTable, StatsSummary, Suspect, Ticket, TicketAnswer, TicketRecord, TicketRefusal,
+    BlockedParts, Config, ControlCommand, ControlOutcome, ObjectName, PoolRollout, PoolVersions,
+    Rollout, RouteTable, StatsSummary, Suspect, Ticket, TicketAnswer, TicketRecord, TicketRefusal,
     VersionState, validate,
 };
-use crate::name::VersionKey;
+use crate::name::{PoolName, VersionKey, VersionName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -26,6 +26,9 @@
     /// [`crate::group::ReplicatedState::snapshot`].
     #[serde(skip)]
     pub(crate) blocked_parts: BlockedParts,
+    /// Not part of that encoding either.
+    #[serde(skip)]
+    pub(crate) pool_versions: BTreeMap<PoolName, PoolVersions>,
 }
 
 impl ControlState {
@@ -59,6 +62,20 @@
         &self.blocked_parts
     }
 
+    /// What the roll-outs of each pool have decided on its versions.
+    pub fn pool_versions(&self) -> &BTreeMap<PoolName, PoolVersions> {
+        &self.pool_versions
+    }
+
+    /// Whether servers of a pool's version may get calls, by all of its roll-outs; `None` for servers
+    /// without a version.
+    pub fn allows_version(&self, pool: &PoolName, version: Option<&VersionName>) -> bool {
+        match (self.config.pool_rollouts.get(pool), self.pool_versions.get(pool)) {
+            (Some(rollout), Some(versions)) => versions.allows(rollout, version),
+            _ => true,
+        }
+    }
+
     /// Versions that were stopped, each with the evidence.
     pub fn stopped_versions(&self) -> impl Iterator<Item = (&VersionKey, &str)> {
         self.stop_evidence.iter().map(|(version, evidence)| (version, evidence.as_str()))
@@ -206,6 +223,7 @@
         if current.is_some_and(|current| current.target == rollout.target) {
             return ControlOutcome::Unchanged;
         }
+        self.pool_versions.entry(rollout.pool.clone()).or_default().order(&rollout, current);
         let mut next = Config::clone(&self.config);
         next.pool_rollouts.insert(rollout.pool.clone(), rollout);
         self.install(next)
@@ -215,6 +233,7 @@
         if self.config.pool_rollouts.get(&before.pool) != Some(before) {
             return ControlOutcome::Unchanged;
         }
+        self.pool_versions.entry(after.pool.clone()).or_default().advance(&after);
         let mut next = Config::clone(&self.config);
         next.pool_rollouts.insert(after.pool.clone(), after);
         self.install(next)
--- a/src/daemon/leader_pools.rs
+++ b/src/daemon/leader_pools.rs
@@ -1,15 +1,16 @@
 //! VM list and pool statistics that the leader of the control group keeps for daemons of role
 //! router.
 //!
-//! The VM list is the platform's, corrected by what routers have seen: a server that told one of
-//! them that it is leaving counts as leaving for all.
+//! The VM list is the platform's, corrected by what routers have seen, as a server that told one of
+//! them that it is leaving counts as leaving for all, and by the roll-outs: so do servers of versions
+//! that may get no calls.
 
 use crate::control::RouterId;
 use crate::group::since_start;
 use crate::name::VmName;
 use crate::peer::PoolReport;
 use crate::policy::Tally;
-use crate::vms::{LeavingMarks, Vm, VmSnapshot};
+use crate::vms::{LeavingMarks, Vm, VmSnapshot, VmState};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
@@ -77,12 +78,19 @@
         }
     }
 
-    /// The fetched list with the marks applied; `None` before the first fetch as leader.
-    pub fn current_list(&self) -> Option<VmSnapshot> {
+    /// The fetched list with the marks applied, and what `may_serve` refuses shown as leaving; `None`
+    /// before the first fetch as leader.
+    pub fn current_list<F>(&self, may_serve: F) -> Option<VmSnapshot>
+    where
+        F: Fn(&Vm) -> bool,
+    {
         let mut fetched = self.fetched.lock().expect("fetched list lock");
         let fetched = fetched.as_mut()?;
         let mut vms = fetched.vms.clone();
         fetched.marks.apply(&mut vms, since_start());
+        for vm in vms.iter_mut().filter(|vm| !may_serve(vm)) {
+            vm.state = VmState::Leaving;
+        }
         Some(VmSnapshot::new(vms))
     }
 
--- a/src/daemon/renewals.rs
+++ b/src/daemon/renewals.rs
@@ -5,6 +5,7 @@
 use crate::control::Config;
 use crate::distribution::Chunk;
 use crate::peer::{RenewRequest, RenewResponse};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 impl Node {
@@ -84,9 +85,13 @@
         }
     }
 
-    /// Publishes the VM list as last fetched, without the servers that are known to be leaving.
+    /// Publishes the VM list as last fetched, without the servers that are known to be leaving and
+    /// those of versions that may get no calls.
     pub(super) fn install_vm_list(&self) {
-        if let Some(snapshot) = self.pools.current_list() {
+        let list = self.read_control(|state| {
+            self.pools.current_list(|vm| state.allows_version(&vm.pool, vm.version.as_ref()))
+        });
+        if let Some(snapshot) = list {
             self.publisher.publish_vms(&snapshot.vms);
             self.pools.install(snapshot);
         }
@@ -97,7 +102,13 @@
 /// the changes since the one that routers got from its predecessor.
 pub async fn publish_changes(node: Arc<Node>) {
     let mut applied = node.cluster.control().applied();
+    let mut versions = BTreeMap::new();
     while applied.changed().await.is_ok() {
+        let decided = node.read_control(|state| state.pool_versions().clone());
+        if decided != versions {
+            versions = decided;
+            node.install_vm_list();
+        }
         node.publish_current();
     }
 }
--- a/src/group/replicated_state.rs
+++ b/src/group/replicated_state.rs
@@ -35,13 +35,13 @@
         Ok(outcome?.into())
     }
 
-    /// Serialises the whole state. The blocked parts follow the control state, and the blocked requests
-    /// these: builds that do not know them leave them unread.
+    /// Serialises the whole state. The blocked parts follow the control state, then the blocked requests
+    /// and the versions of pools: builds that do not know them leave them unread.
     pub fn snapshot(&self) -> Bytes {
         let bytes = match self {
             ReplicatedState::Control(state) => {
                 let blocked = state.blocked_parts();
-                postcard::to_stdvec(&(state, blocked, &blocked.requests))
+                postcard::to_stdvec(&(state, blocked, &blocked.requests, state.pool_versions()))
             }
             ReplicatedState::Ledger(state) => postcard::to_stdvec(state),
         };
@@ -61,7 +61,11 @@
                     let (blocked, rest) = postcard::take_from_bytes(rest)?;
                     state.blocked_parts = blocked;
                     if !rest.is_empty() {
-                        state.blocked_parts.requests = postcard::from_bytes(rest)?;
+                        let (requests, rest) = postcard::take_from_bytes(rest)?;
+                        state.blocked_parts.requests = requests;
+                        if !rest.is_empty() {
+                            state.pool_versions = postcard::from_bytes(rest)?;
+                        }
                     }
                 }
             }
