Choose among the versions that serve now when a call is sent again

Cause: a call kept the roll-out of its acceptance. For a stream accepted while the roll-out ran, only the old version was allowed, for good, so it was sent from one stopped server to the next.

Change: each selection asks the newest configuration for the pool's roll-out; route and rights stay those of the acceptance.

--- a/src/gateway/accepted_call.rs
+++ b/src/gateway/accepted_call.rs
@@ -127,11 +127,13 @@
         self.head.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
-    /// Selects the best server for the call now, leaving out the `excluded` ones.
+    /// Selects the best server for the call, leaving out the `excluded` ones, among the versions that
+    /// may get calls now: those of its acceptance may have stopped since.
     pub(super) fn select_server(&self, excluded: &[VmName]) -> Selection {
         let session_version = self.session_version();
         let criteria = self.criteria(session_version.as_ref(), excluded);
-        self.gateway.select_server(&self.index, &criteria)
+        let current = self.gateway.route_index();
+        self.gateway.select_server(current.as_ref().unwrap_or(&self.index), &criteria)
     }
 
     /// The version that last served the call's session, if known.
