Forget unreached servers that have left the list

Cause: three servers that refuse connections, and a silence, make the path to a pool lost; servers that had stopped for good counted as long as no other connection was opened.

Change: the monitor of a path forgets servers that the list no longer shows.

Not done: a stream under way asks its own server before it is cut.

--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -111,8 +111,10 @@
     }
 
     fn state(&self, gateway: &Gateway) -> PathState {
-        let servers = gateway.servers.pool(&self.pool).len();
-        self.monitor.lock().expect("path lock").state(servers, self.silence())
+        let servers = gateway.servers.pool(&self.pool);
+        let mut monitor = self.monitor.lock().expect("path lock");
+        monitor.retain(|name| servers.iter().any(|server| server.vm.name == *name));
+        monitor.state(servers.len(), self.silence())
     }
 
     /// How long no byte has come from any server of the pool.
--- a/src/policy/path_monitor.rs
+++ b/src/policy/path_monitor.rs
@@ -56,6 +56,27 @@
         }
     }
 
+    /// Forgets servers that are not in the pool any more: the closed port of one that was stopped is no
+    /// sign of a lost path.
+    ///
+    /// ```
+    /// use samphireshift::name::VmName;
+    /// use samphireshift::policy::{PathMonitor, PathState};
+    /// use std::time::Duration;
+    /// let mut path = PathMonitor::default();
+    /// for server in ["a", "b", "c"] {
+    ///     path.record_unreached(&VmName::new(server));
+    /// }
+    /// path.retain(|server| server.as_str() == "a");
+    /// assert_eq!(path.state(8, Duration::from_millis(400)), PathState::Open);
+    /// ```
+    pub fn retain<F>(&mut self, is_listed: F)
+    where
+        F: FnMut(&VmName) -> bool,
+    {
+        self.unreached.retain(is_listed);
+    }
+
     /// The state of the path to a pool of this many servers from which no byte has come for
     /// `silence`.
     pub fn state(&self, servers: usize, silence: Duration) -> PathState {
