Send a call only for the organisation that it began with

Cause: the permit that is asked around each write checked that somebody holds the key, not that the call's organisation does. In the same place, a call without a key went on after its route had become private.

--- a/src/gateway/accepted_call.rs
+++ b/src/gateway/accepted_call.rs
@@ -3,6 +3,7 @@
 use super::attempt_trail::AttemptTrail;
 use super::hop::Hop;
 use super::hop_account::HopAccount;
+use super::route_permit::RoutePermit;
 use super::server_selection::{Selection, SelectionCriteria, stable_hash};
 use super::{Gateway, RequestHead, RouteIndex};
 use crate::control::{ConfiguredRoute, KeyHash, Suspect};
@@ -127,6 +128,18 @@
         self.head.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// Permission to send the call once.
+    pub(super) fn permit(&self) -> Arc<RoutePermit> {
+        RoutePermit::new(
+            self.gateway.lease.clone(),
+            self.index.config.revision,
+            self.route.clone(),
+            self.pool.clone(),
+            self.key.clone(),
+            self.organisation.clone(),
+        )
+    }
+
     /// Selects the best server for the call, leaving out the `excluded` ones, among the versions that
     /// may get calls now: those of its acceptance may have stopped since.
     pub(super) fn select_server(&self, excluded: &[VmName]) -> Selection {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -214,10 +214,16 @@
         let target = format!("{}{}", self.route.host, self.uri.path());
         match index.route(&self.route.host, self.uri.path()) {
             None => Some(GatewayError::NoRoute(target)),
-            Some(route) if index.authorize(route, self.key.as_ref()) == Access::Denied => {
-                Some(GatewayError::InvalidKey)
-            }
-            Some(_) => None,
+            Some(route) => match index.authorize(route, self.key.as_ref()) {
+                Access::Denied => Some(GatewayError::InvalidKey),
+                // The key belongs to another organisation now.
+                Access::Organisation(holder)
+                    if self.organisation.as_ref() != Some(&holder.name) =>
+                {
+                    Some(GatewayError::InvalidKey)
+                }
+                Access::Anonymous | Access::Organisation(_) => None,
+            },
         }
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,7 +8,6 @@
 use super::paths::PoolPath;
 use super::response::{ends_with_connection, strip_hop_headers};
 use super::response_timeout::ResponseTimeout;
-use super::route_permit::RoutePermit;
 use super::server_selection::SelectedServer;
 use super::server_table::{InFlightCall, ServerState};
 use super::tallies::{CallOutcome, CallRecorder};
@@ -202,9 +201,7 @@
             connection.return_to_pool();
             return SendOutcome::NotSent("the server's limit allows no call now".to_owned());
         };
-        let (lease, revision) = (self.gateway.lease.clone(), self.index.config.revision);
-        let (route, pool) = (self.route.clone(), self.pool.clone());
-        connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
+        connection.set_permit(self.permit());
         let request = self.request(&server.vm.name, last_event);
         let mut run = self.gateway.parts.begin_run(&self.suspects, &self.ended_servers);
         let sent_at = Instant::now();
--- a/src/gateway/pass_on.rs
+++ b/src/gateway/pass_on.rs
@@ -7,7 +7,6 @@
 use super::hop_account::{HopAccount, HopAllowance};
 use super::response::strip_hop_headers;
 use super::response_timeout::ResponseTimeout;
-use super::route_permit::RoutePermit;
 use crate::backend::{BackendBody, PooledConnection, SendError};
 use crate::peer::{self, ProtocolVersion};
 use crate::policy::Helper;
@@ -38,9 +37,7 @@
             Err(_) => return SendOutcome::Unreached("connection attempt timed out".to_owned()),
         };
         connection.set_single_use();
-        let (lease, revision) = (self.gateway.lease.clone(), self.index.config.revision);
-        let (route, pool) = (self.route.clone(), self.pool.clone());
-        connection.set_permit(RoutePermit::new(lease, revision, route, pool, self.key.clone()));
+        connection.set_permit(self.permit());
         let allowance = self.allowance(history, version);
         let request = self.request_to_helper(history, last_event, &allowance, version);
         // What is not known of the other router's sends counts as all that it may do.
--- a/src/gateway/route_permit.rs
+++ b/src/gateway/route_permit.rs
@@ -1,10 +1,10 @@
 use crate::backend::WritePermit;
 use crate::control::{Config, ConfiguredRoute, KeyHash, RouteTable};
-use crate::name::PoolName;
+use crate::name::{OrganisationName, PoolName};
 use crate::route::RouterLease;
 use std::sync::Arc;
 
-/// Permission to send one call on a configured route. It is checked around every write, so that a
+/// Permission to send one call on a configured route, for the organisation that it began with. It is checked around every write, so that a
 /// router that was suspended or whose lease has expired sends nothing that is no longer allowed.
 #[derive(Debug)]
 pub struct RoutePermit {
@@ -14,6 +14,7 @@
     route: Arc<ConfiguredRoute>,
     pool: PoolName,
     key: Option<KeyHash>,
+    organisation: Option<OrganisationName>,
 }
 
 impl RoutePermit {
@@ -24,8 +25,9 @@
         route: Arc<ConfiguredRoute>,
         pool: PoolName,
         key: Option<KeyHash>,
+        organisation: Option<OrganisationName>,
     ) -> Arc<Self> {
-        Arc::new(Self { lease, revision, route, pool, key })
+        Arc::new(Self { lease, revision, route, pool, key, organisation })
     }
 
     fn allows(&self, config: &Config) -> bool {
@@ -41,12 +43,22 @@
         let has_pool = |route: &Arc<ConfiguredRoute>| {
             route.pools.iter().any(|share| share.pool == self.pool && share.weight > 0)
         };
-        route.is_some_and(has_pool) && self.key.as_ref().is_none_or(|key| is_known_key(table, key))
+        route.is_some_and(|route| has_pool(route) && self.may_call(table, route))
+    }
+
+    /// Whether the key is still that of the call's organisation, or the route needs none.
+    fn may_call(&self, table: &RouteTable, route: &ConfiguredRoute) -> bool {
+        match &self.key {
+            Some(key) => holder(table, key) == self.organisation.as_ref(),
+            None => route.public || table.organisations.is_none(),
+        }
     }
 }
 
-fn is_known_key(table: &RouteTable, key: &KeyHash) -> bool {
-    table.organisations.iter().flatten().any(|organisation| organisation.keys.contains(key))
+/// The organisation that a key belongs to.
+fn holder<'a>(table: &'a RouteTable, key: &KeyHash) -> Option<&'a OrganisationName> {
+    let mut organisations = table.organisations.iter().flatten();
+    organisations.find(|organisation| organisation.keys.contains(key)).map(|found| &found.name)
 }
 
 impl WritePermit for RoutePermit {
