--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -2,14 +2,18 @@
 //! order, clock rates and faults.
 
 pub mod disk;
+pub mod fault_rates;
 pub mod invariant_checker;
+pub mod simulated_node;
 
 use disk::Disk;
+pub use fault_rates::FaultRates;
 use invariant_checker::InvariantChecker;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use samphireshift::consensus::{Member, MemberId, Members, Message, Output, Payload, Raft, Timing};
 use samphireshift::name::{DataCentre, VmName};
+pub use simulated_node::SimulatedNode;
 use std::time::Duration;
 
 pub const TIMING: Timing = Timing {
@@ -24,59 +28,6 @@
 /// Probability per step, in thousandths, that a stopped node restarts.
 const RESTART_PERMILLE: u32 = 100;
 
-/// Probability of each fault in thousandths: per delivered message for `drop` and `duplicate`, per
-/// step for the others. `crash` also applies, halved, before and after each sync.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct FaultRates {
-    pub drop: u32,
-    pub duplicate: u32,
-    pub crash: u32,
-    /// Loss of a disk; the node comes back as a new member.
-    pub wipe: u32,
-    /// Pause of a node, whose messages wait meanwhile.
-    pub freeze: u32,
-    /// Loss of all messages from and to a node for some time.
-    pub isolate: u32,
-    pub change: u32,
-    pub compact: u32,
-    pub transfer: u32,
-    /// Whether faults start with the first voter rather than once there are three.
-    pub from_bootstrap: bool,
-}
-
-/// Member of the simulated cluster.
-pub struct SimulatedNode {
-    pub id: MemberId,
-    /// Number of starts of this member.
-    pub boot_count: u64,
-    /// `None` while the node is stopped.
-    pub raft: Option<Raft>,
-    pub disk: Disk,
-    pub applied_index: u64,
-    /// Hash of the replicated state.
-    pub state_hash: u64,
-    /// Speed of the local clock relative to the simulated time.
-    clock_rate: f64,
-    frozen_until: Duration,
-    isolated_until: Duration,
-}
-
-impl SimulatedNode {
-    /// Reading of the local clock.
-    pub fn clock(&self, now: Duration) -> Duration {
-        now.mul_f64(self.clock_rate)
-    }
-
-    fn start(&mut self, now: Duration, seed: u64) {
-        self.boot_count += 1;
-        (self.applied_index, self.state_hash) = self.disk.snapshot_state();
-        let (hard_state, log) = self.disk.recover();
-        let mut raft = Raft::new(self.id, TIMING, seed, self.clock(now), hard_state, log);
-        raft.set_chunk_bytes(CHUNK_BYTES);
-        self.raft = Some(raft);
-    }
-}
-
 /// Simulated cluster, its network and its time.
 pub struct Simulation {
     pub nodes: Vec<SimulatedNode>,
