Log and measure what a group's leader sees of its members

Observability alone, before any mend.

Change: a pure report from the planner's view (GroupHealth), whose differences are logged, once per change; refusals by consensus too (were debug lines). Five gauges with a label group, 0 on daemons that do not lead. The planner's next_step is cut in three (wanted, safe, both) so that the report can say why; its steps are the same.

--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -1,6 +1,7 @@
 //! Membership changes by the leaders of groups, and discovery of the cluster and its members.
 
 use super::Node;
+use super::health_watch::HealthWatch;
 use super::membership_plan::{KnownVm, MembershipStep, MembershipView};
 use crate::consensus::{Member, MemberId};
 use crate::event::Event;
@@ -18,6 +19,7 @@
 /// Adopts the cluster id from peers, keeps connections to members, and changes the membership of
 /// the groups that this daemon leads, forever.
 pub async fn maintain_members(node: Arc<Node>) {
+    let mut watch = HealthWatch::default();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         adopt_cluster(&node);
@@ -25,7 +27,10 @@
         for group in node.cluster.groups() {
             let status = group.status();
             if status.leading && group.may_serve_reads() {
-                change_members(&node, group, &status).await;
+                watch.report(group.id(), node.group_health(&status));
+                change_members(&node, group, &status, &mut watch).await;
+            } else {
+                watch.stop(group.id());
             }
         }
     }
@@ -60,17 +65,26 @@
     }
 }
 
-async fn change_members(node: &Node, group: &Group, status: &GroupStatus) {
+async fn change_members(node: &Node, group: &Group, status: &GroupStatus, watch: &mut HealthWatch) {
     let Some(step) = node.next_member_step(status) else { return };
-    match group.change_members(step.apply(&status.members)).await {
-        Ok(()) => node.journal.record(step_event(group, step)),
-        Err(error) => log::debug!("{}: members not changed: {error}", group.id()),
+    let outcome = group.change_members(step.apply(&status.members)).await;
+    watch.record_outcome(group.id(), &step, outcome);
+    if outcome.is_ok() {
+        node.journal.record(step_event(group, step));
     }
 }
 
 impl Node {
     /// The next change of the members of a group that this daemon leads.
     pub(super) fn next_member_step(&self, status: &GroupStatus) -> Option<MembershipStep> {
+        self.with_membership_view(status, |view| view.next_step())
+    }
+
+    /// Calls `read` with what this daemon, the leader of a group, sees of its members.
+    pub(super) fn with_membership_view<F, T>(&self, status: &GroupStatus, read: F) -> T
+    where
+        F: FnOnce(&MembershipView<'_>) -> T,
+    {
         let is_synced =
             |(id, matched): &(MemberId, u64)| (*matched >= status.commit_index).then_some(*id);
         let caught_up: Vec<_> = status.match_indexes.iter().filter_map(is_synced).collect();
@@ -82,7 +96,7 @@
             target_voters: self.settings.target_voters,
             replace_after: self.settings.replace_after,
         };
-        view.next_step()
+        read(&view)
     }
 }
 
--- a/src/daemon/membership_plan.rs
+++ b/src/daemon/membership_plan.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// A VM that was heard from within this time counts as alive.
-const ALIVE_WITHIN: Duration = Duration::from_secs(1);
+pub(super) const ALIVE_WITHIN: Duration = Duration::from_secs(1);
 
 /// A VM known to the leader, under a member id that it has or had.
 #[derive(Debug, Clone)]
@@ -74,15 +74,21 @@
     /// never falls. Diskless voters stay a strict minority, so every majority includes a synced copy. A
     /// step is only taken if a quorum of the resulting voters is alive.
     pub fn next_step(&self) -> Option<MembershipStep> {
-        let step = self
-            .resolve_learner()
-            .or_else(|| self.remove_excess())
-            .or_else(|| self.add_learner())?;
+        self.wanted_step().filter(|step| self.is_safe(step))
+    }
+
+    /// The next step towards the target number of voters, whether it is safe or not.
+    pub(super) fn wanted_step(&self) -> Option<MembershipStep> {
+        self.resolve_learner().or_else(|| self.remove_excess()).or_else(|| self.add_learner())
+    }
+
+    /// Whether a quorum of the voters after a step is alive, and diskless ones are a minority.
+    pub(super) fn is_safe(&self, step: &MembershipStep) -> bool {
         let next = step.apply(self.members);
         let safe = self.keeps_quorum(&next) && diskless_voters(&next) * 2 < next.voters.len();
         // Adding or removing a learner does not affect the quorum.
         let votes = next.voters.len() != self.members.voters.len();
-        (safe || !votes).then_some(step)
+        safe || !votes
     }
 
     /// Promotes the learner when it has caught up, or removes it when it is lost, or silent while
@@ -138,19 +144,22 @@
     /// The VM to add next: one with a disk if possible, in the data centre with the fewest live
     /// voters.
     fn best_candidate(&self) -> Option<&Member> {
-        let eligible = |known: &&KnownVm| {
+        self.candidates().min_by_key(|m| (!m.durable, self.voters_in(&m.data_centre), m.vm.clone()))
+    }
+
+    /// The VMs that may be added now.
+    pub(super) fn candidates(&self) -> impl Iterator<Item = &Member> {
+        let eligible = move |known: &&KnownVm| {
             known.available
                 && !known.leaving
                 && known.silent_for < ALIVE_WITHIN
                 && !self.members.contains(known.member.id)
         };
         // Diskless voters must stay a strict minority once this one votes.
-        let allowed = |m: &&Member| {
+        let allowed = move |m: &&Member| {
             m.durable || (diskless_voters(self.members) + 1) * 2 <= self.members.voters.len()
         };
-        let candidates =
-            self.known_vms.iter().filter(eligible).map(|known| &known.member).filter(allowed);
-        candidates.min_by_key(|m| (!m.durable, self.voters_in(&m.data_centre), m.vm.clone()))
+        self.known_vms.iter().filter(eligible).map(|known| &known.member).filter(allowed)
     }
 
     /// Whether the candidate is in a data centre without live voters while another has at least
@@ -183,7 +192,7 @@
     }
 
     /// Whether a member is lost, or is about to end.
-    fn is_going(&self, member: &Member) -> bool {
+    pub(super) fn is_going(&self, member: &Member) -> bool {
         self.is_lost(member) || self.is_leaving(member)
     }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,8 @@
 
 mod deadly_parts;
 mod departures;
+mod group_health;
+mod health_watch;
 mod helpers;
 mod leader_leases;
 mod leader_pools;
@@ -25,6 +27,7 @@
 mod wait;
 mod warm_up_rates;
 
+pub use group_health::{GroupHealth, MembershipPlan, SeenDaemon, SilentVoter};
 pub use membership_plan::{KnownVm, MembershipStep, MembershipView};
 pub use node::Node;
 pub use start::run;
