Hand on the groups' members and leader with pings

What callers saw: no leader of the control group for good, silence or 503 from all of the core (CONFIG). Cause: a daemon outside of the group links to its seeds only, so a leader that is no seed has never heard of it; it sees no successor for a lost voter and makes the group smaller. The same lack leaves questions at a spare unanswered: it is told the leader's name and has no link to it. Change: pings carry a digest of what a daemon knows of the groups' members and leaders, and bring what differs; daemons link to all members that they know of, at once. NotLeader names the leader's address also at a daemon outside of the group. Protocol version 9; older builds are pinged as before. Why it works: the leader hears of each daemon that could vote from the daemon itself, whichever seed it was started from.

--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -179,6 +179,12 @@
         &self.members
     }
 
+    /// Term and index of the entry that set the newest membership, or of the snapshot that includes it.
+    pub fn members_version(&self) -> (u64, u64) {
+        let term = self.log.term(self.members_index);
+        (term.unwrap_or_else(|| self.log.snapshot().term), self.members_index)
+    }
+
     /// Whether the newest membership in the log is known to be committed.
     pub fn members_committed(&self) -> bool {
         self.members_index <= self.commit_index
--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -18,8 +18,9 @@
 /// Adopts the cluster id from peers, keeps connections to members, and changes the membership of
 /// the groups that this daemon leads, forever.
 pub async fn maintain_members(node: Arc<Node>) {
+    let groups = node.cluster.peers().groups();
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        node.cluster.groups().for_each(|group| groups.learn(group.id(), &group.status()));
         adopt_cluster(&node);
         connect_peers(&node);
         for group in node.cluster.groups() {
@@ -28,11 +29,14 @@
                 change_members(&node, group, &status).await;
             }
         }
+        // Ends early when a peer has connected or told something new.
+        let _ = tokio::time::timeout(CHECK_INTERVAL, groups.wait()).await;
     }
 }
 
-/// Connects to seeds and members, if daemons discover each other through seeds. Old links to other
-/// daemons are dropped.
+/// Connects to the seeds and to all known members of groups, if daemons discover each other through
+/// seeds. Each member connects back, so whoever leads knows this daemon. Old links to other daemons are
+/// dropped.
 fn connect_peers(node: &Node) {
     let Settings { seeds, peer_address, .. } = &node.settings;
     if seeds.is_empty() {
@@ -40,8 +44,12 @@
     }
     let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), peer_address.port()));
     let mut addresses: BTreeSet<SocketAddr> = seeds.collect();
-    for group in node.cluster.groups() {
-        addresses.extend(group.status().members.all().map(|member| member.address));
+    addresses.extend(node.cluster.peers().groups().directory().members().map(|m| m.address));
+    for status in node.cluster.groups().map(|group| group.status()) {
+        // A committed membership is in the directory, or replaced by a newer one there.
+        if !status.members_committed {
+            addresses.extend(status.members.all().map(|member| member.address));
+        }
     }
     addresses.iter().for_each(|address| node.cluster.peers().add(*address));
     node.cluster.peers().prune(&addresses);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -128,9 +128,7 @@
 
     /// Peer address of the control group's leader, if known.
     pub fn leader_address(&self) -> Option<SocketAddr> {
-        let status = self.cluster.control().status();
-        let leader = status.leader?;
-        status.members.all().find(|member| member.id == leader).map(|member| member.address)
+        self.cluster.leader_address(GroupId::Control)
     }
 
     /// Handles a new connection from a peer. If daemons discover each other through seeds, this
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -4,7 +4,7 @@
 use crate::event::{Event, EventQuery};
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
-    DepartureRequest, DepartureResponse, EventResponse, HelperRequest, HelperResponse,
+    DepartureRequest, DepartureResponse, EventResponse, Greeting, HelperRequest, HelperResponse,
     LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus, OperatorRequest,
     OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec, RenewRequest,
     RenewResponse, SubmitResponse, SuspectReport, SuspectResponse, accept,
@@ -87,6 +87,12 @@
         self.0.find_helpers(&request)
     }
 
+    async fn greet(self, _: Context, digest: u64) -> Greeting {
+        let groups = self.0.cluster.peers().groups();
+        let directory = (groups.digest() != digest).then(|| groups.directory());
+        Greeting { identity: self.0.identity(), directory }
+    }
+
     async fn depart(self, _: Context, request: DepartureRequest) -> DepartureResponse {
         self.0.take_departure(request)
     }
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -318,6 +318,7 @@
             commit_index: self.raft.commit_index(),
             last_index: self.raft.log().last_index(),
             members: self.raft.members().clone(),
+            members_version: self.raft.members_version(),
             members_committed: self.raft.members_committed(),
             match_indexes: Vec::new(),
             last_contacts: Vec::new(),
--- a/src/group/shared.rs
+++ b/src/group/shared.rs
@@ -65,6 +65,8 @@
     pub last_index: u64,
     /// The newest membership in the log, committed or not.
     pub members: Members,
+    /// Term and index of the entry that set it; the highest one is the newest.
+    pub members_version: (u64, u64),
     /// Whether that membership is known to be committed.
     pub members_committed: bool,
     /// Index of the last entry known to be synced on each other member; empty if this member is not
--- a/src/peer/cluster.rs
+++ b/src/peer/cluster.rs
@@ -1,11 +1,12 @@
 use super::{PeerClient, PeerLinks, SubmitResponse};
-use crate::consensus::MemberId;
+use crate::consensus::Member;
 use crate::group::{Group, GroupId};
 use crate::name::VmName;
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tarpc::context;
@@ -63,13 +64,18 @@
     }
 
     /// The VM that leads a group: according to this daemon's member of the group, otherwise as last
-    /// reported by another daemon.
+    /// reported by another daemon that was asked, or as handed on with pings.
     pub fn leader(&self, id: GroupId) -> Option<VmName> {
-        let status = self.groups.get(&id)?.status();
-        let known = status.leader.and_then(|member| self.vm_of_member(id, member));
-        known.or_else(|| {
-            self.leader_hints.lock().expect("leader hints lock poisoned").get(&id).cloned()
-        })
+        let hint =
+            || self.leader_hints.lock().expect("leader hints lock poisoned").get(&id).cloned();
+        let own = self.own_leader(id).map(|leader| leader.vm);
+        own.or_else(hint).or_else(|| self.told_leader(id).map(|leader| leader.vm))
+    }
+
+    /// The address on which a group's leader accepts connections from peers, if known.
+    pub fn leader_address(&self, id: GroupId) -> Option<SocketAddr> {
+        let leader = self.own_leader(id).or_else(|| self.told_leader(id))?;
+        Some(leader.address)
     }
 
     /// Records which VM another daemon reported as the leader of a group; `None` clears the hint.
@@ -149,8 +155,16 @@
         connected.get(attempt % connected.len().max(1)).cloned()
     }
 
-    fn vm_of_member(&self, id: GroupId, member: MemberId) -> Option<VmName> {
+    /// The leader according to this daemon's member of the group.
+    fn own_leader(&self, id: GroupId) -> Option<Member> {
         let status = self.groups.get(&id)?.status();
-        status.members.all().find(|m| m.id == member).map(|m| m.vm.clone())
+        let leader = status.leader?;
+        status.members.all().find(|member| member.id == leader).cloned()
+    }
+
+    /// The leader as handed on with pings.
+    fn told_leader(&self, id: GroupId) -> Option<Member> {
+        let directory = self.peers.groups().directory();
+        directory.group(id)?.leader().cloned()
     }
 }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,9 +1,12 @@
-use super::{PeerClient, PeerIdentity, PostcardCodec, ProtocolVersion, handshake};
+use super::{
+    Greeting, KnownGroups, PeerClient, PeerIdentity, PostcardCodec, ProtocolVersion, handshake,
+};
 use crate::event::{Event, Journal};
 use crate::group::since_start;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock, RwLock};
 use std::time::{Duration, Instant};
+use tarpc::client::RpcError;
 use tarpc::context;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -26,6 +29,19 @@
     last_heard: Duration,
 }
 
+/// What all links of a daemon share.
+#[derive(Clone)]
+pub struct LinkContext {
+    /// The shared secret of the cluster.
+    pub secret: String,
+    /// The identity of this daemon.
+    pub local: Arc<RwLock<PeerIdentity>>,
+    /// Records links that fall silent.
+    pub journal: Arc<Journal>,
+    /// What this daemon knows of the groups.
+    pub groups: Arc<KnownGroups>,
+}
+
 /// A persistent connection to a peer's address, reopened when it fails or a ping times out.
 pub struct Link {
     address: SocketAddr,
@@ -41,12 +57,7 @@
 
 impl Link {
     /// Creates a link to an address and starts a task that keeps it connected.
-    pub fn spawn(
-        address: SocketAddr,
-        secret: String,
-        local: Arc<RwLock<PeerIdentity>>,
-        journal: Arc<Journal>,
-    ) -> Arc<Self> {
+    pub fn spawn(address: SocketAddr, context: LinkContext) -> Arc<Self> {
         let link = Arc::new(Self {
             address,
             created_at: since_start(),
@@ -55,7 +66,7 @@
             version: RwLock::default(),
             task: OnceLock::new(),
         });
-        let handle = tokio::spawn(maintain(link.clone(), secret, local, journal));
+        let handle = tokio::spawn(maintain(link.clone(), context));
         link.task.get_or_init(|| handle.abort_handle());
         link
     }
@@ -113,18 +124,13 @@
 }
 
 /// Connects, pings until the connection fails, and reconnects, in an endless loop.
-async fn maintain(
-    link: Arc<Link>,
-    secret: String,
-    local: Arc<RwLock<PeerIdentity>>,
-    journal: Arc<Journal>,
-) {
+async fn maintain(link: Arc<Link>, context: LinkContext) {
+    let LinkContext { secret, local, journal, groups } = context;
     loop {
         let identity = local.read().expect("identity lock poisoned").clone();
         if let Some(dialed) = dial(link.address, &secret, &identity, &journal).await {
-            let Dialed { client, identity, version } = dialed;
-            *link.version.write().expect("link lock poisoned") = Some(version);
-            ping_until_failure(&link, client, identity).await;
+            *link.version.write().expect("link lock poisoned") = Some(dialed.version);
+            ping_until_failure(&link, dialed, &groups).await;
             link.set_active(None);
             journal.record(Event::PeerSilent { peer: link.address.to_string() });
         }
@@ -166,25 +172,34 @@
 }
 
 /// Marks the link as connected and pings the peer until a ping fails.
-async fn ping_until_failure(link: &Link, client: PeerClient, identity: PeerIdentity) {
-    link.set_active(Some(ActiveConnection {
-        client: client.clone(),
-        identity,
-        last_heard: since_start(),
-    }));
-    loop {
+async fn ping_until_failure(link: &Link, dialed: Dialed, groups: &KnownGroups) {
+    let Dialed { client, identity, version } = dialed;
+    let connected = |identity| {
+        let (client, last_heard) = (client.clone(), since_start());
+        link.set_active(Some(ActiveConnection { client, identity, last_heard }));
+    };
+    connected(identity);
+    groups.wake();
+    while let Ok(identity) = ping(&client, version, groups).await {
+        connected(identity);
         tokio::time::sleep(PING_INTERVAL).await;
-        let mut context = context::current();
-        context.deadline = Instant::now() + PING_TIMEOUT;
-        match client.ping(context).await {
-            Ok(identity) => {
-                link.set_active(Some(ActiveConnection {
-                    client: client.clone(),
-                    identity,
-                    last_heard: since_start(),
-                }));
-            }
-            Err(_) => return,
-        }
     }
 }
+
+/// Pings a peer, and takes in what it knows of the groups.
+async fn ping(
+    client: &PeerClient,
+    version: ProtocolVersion,
+    groups: &KnownGroups,
+) -> Result<PeerIdentity, RpcError> {
+    let mut context = context::current();
+    context.deadline = Instant::now() + PING_TIMEOUT;
+    if version < ProtocolVersion::DIRECTORIES {
+        return client.ping(context).await;
+    }
+    let Greeting { identity, directory } = client.greet(context, groups.digest()).await?;
+    if let Some(directory) = directory {
+        groups.merge(directory);
+    }
+    Ok(identity)
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,9 +3,11 @@
 
 mod cluster;
 mod departure;
+mod directory;
 mod handshake;
 mod helper_request;
 mod identity;
+mod known_groups;
 mod limit_report;
 mod link;
 mod message;
@@ -20,11 +22,13 @@
 
 pub use cluster::{Cluster, Unavailable};
 pub use departure::{DepartureRequest, DepartureResponse};
+pub use directory::{Directory, Greeting, GroupContact};
 pub use handshake::{ConnectedPeer, HandshakeError, accept, connect};
 pub use helper_request::{HelperRequest, HelperResponse};
 pub use identity::PeerIdentity;
+pub use known_groups::KnownGroups;
 pub use limit_report::{LimitReport, LimitResponse};
-pub use link::{Dialed, Link, dial};
+pub use link::{Dialed, Link, LinkContext, dial};
 pub use message::{
     EventResponse, EvidenceView, GroupView, LeaseRequest, LeaseResponse, NodeStatus,
     OperatorRequest, OperatorResponse, PoolReport, PoolUpdate, StoppedVersion, SubmitResponse,
--- a/src/peer/peer_links.rs
+++ b/src/peer/peer_links.rs
@@ -1,4 +1,4 @@
-use super::{Link, PeerClient, PeerIdentity, ProtocolVersion};
+use super::{KnownGroups, Link, LinkContext, PeerClient, PeerIdentity, ProtocolVersion};
 use crate::consensus::MemberId;
 use crate::event::Journal;
 use crate::name::VmName;
@@ -12,10 +12,7 @@
 
 /// The links to the other daemons.
 pub struct PeerLinks {
-    /// The identity of this daemon, shared with the links.
-    local: Arc<RwLock<PeerIdentity>>,
-    secret: String,
-    journal: Arc<Journal>,
+    context: LinkContext,
     links: RwLock<Vec<Arc<Link>>>,
 }
 
@@ -27,12 +24,13 @@
         local: PeerIdentity,
         journal: &Arc<Journal>,
     ) -> Self {
-        let peers = Self {
-            local: Arc::new(RwLock::new(local)),
+        let context = LinkContext {
             secret: secret.to_owned(),
+            local: Arc::new(RwLock::new(local)),
             journal: journal.clone(),
-            links: RwLock::default(),
+            groups: Arc::default(),
         };
+        let peers = Self { context, links: RwLock::default() };
         addresses.iter().for_each(|address| peers.add(*address));
         peers
     }
@@ -44,8 +42,7 @@
         if known || self.local_identity().address == address {
             return;
         }
-        let (local, journal) = (self.local.clone(), self.journal.clone());
-        links.push(Link::spawn(address, self.secret.clone(), local, journal));
+        links.push(Link::spawn(address, self.context.clone()));
     }
 
     /// Closes and removes the links that have been silent for 30 seconds, except those to the
@@ -63,12 +60,17 @@
 
     /// The identity of this daemon.
     pub fn local_identity(&self) -> PeerIdentity {
-        self.local.read().expect("identity lock poisoned").clone()
+        self.context.local.read().expect("identity lock poisoned").clone()
     }
 
     /// Sets the id of this daemon's cluster. New connections are opened with it.
     pub fn set_cluster(&self, cluster: u128) {
-        self.local.write().expect("identity lock poisoned").cluster = Some(cluster);
+        self.context.local.write().expect("identity lock poisoned").cluster = Some(cluster);
+    }
+
+    /// What this daemon knows of the groups, by its own members of them and from its peers.
+    pub fn groups(&self) -> &KnownGroups {
+        &self.context.groups
     }
 
     /// All links, connected or not.
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -27,6 +27,8 @@
     pub const HOP_ACCOUNTS: Self = Self(7);
     /// Since this version, voters that are told to stop name themselves to the leader, which replaces them.
     pub const DEPARTURES: Self = Self(8);
+    /// Since this version, daemons hand on what they know of the members of groups with their pings.
+    pub const DIRECTORIES: Self = Self(9);
     /// The version of this build.
-    pub const CURRENT: Self = Self::DEPARTURES;
+    pub const CURRENT: Self = Self::DIRECTORIES;
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -3,7 +3,7 @@
 #![allow(missing_docs, reason = "the macro generates undocumented items")]
 
 use super::{
-    DepartureRequest, DepartureResponse, EventResponse, HelperRequest, HelperResponse,
+    DepartureRequest, DepartureResponse, EventResponse, Greeting, HelperRequest, HelperResponse,
     LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus, OperatorRequest,
     OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest, RenewResponse,
     SubmitResponse, SuspectReport, SuspectResponse,
@@ -45,4 +45,7 @@
     async fn find_helpers(request: HelperRequest) -> HelperResponse;
     /// Takes a voter's word that it leaves, if this daemon leads the group. Needs protocol version 8.
     async fn depart(request: DepartureRequest) -> DepartureResponse;
+    /// As `ping`; also returns the daemon's directory of groups if its digest is not `digest`. Needs
+    /// protocol version 9.
+    async fn greet(digest: u64) -> Greeting;
 }
