Use the seeds that the settings name now, without a restart

What callers saw: none of it in the record; found by looking for the same cause elsewhere. A daemon knows others by the seeds of its start; where these are gone by the time it runs, it never finds the group, though the platform has written it a new file (with or without SIGHUP). Routers alike.

--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -6,7 +6,6 @@
 use crate::event::Event;
 use crate::group::{Group, GroupStatus, since_start};
 use crate::peer::PeerIdentity;
-use crate::settings::Settings;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,11 +37,12 @@
 /// seeds. Each member connects back, so whoever leads knows this daemon. Old links to other daemons are
 /// dropped.
 fn connect_peers(node: &Node) {
-    let Settings { seeds, peer_address, .. } = &node.settings;
+    let seeds = node.seeds.borrow().clone();
     if seeds.is_empty() {
         return;
     }
-    let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), peer_address.port()));
+    let port = node.settings.peer_address.port();
+    let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
     let mut addresses: BTreeSet<SocketAddr> = seeds.collect();
     addresses.extend(node.cluster.peers().groups().directory().members().map(|m| m.address));
     for status in node.cluster.groups().map(|group| group.status()) {
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -18,11 +18,14 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use tokio::sync::watch;
 
 /// State of a running daemon, shared by its tasks and servers.
 pub struct Node {
     /// Settings as loaded at startup.
     pub settings: Settings,
+    /// Operator addresses of some voters, as the settings file names them now.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Event journal of this daemon.
     pub journal: Arc<Journal>,
     /// Consensus groups of this daemon and its connections to other daemons.
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -21,6 +21,7 @@
     Admission, LedgerClient, RequestCounter, RetryBudgets, Router, RouterLease, ServerTracker,
     VersionSelector,
 };
+use crate::seeds;
 use crate::settings::{Role, Settings};
 use crate::status_server::install_metrics;
 use crate::storage::DataFolder;
@@ -94,6 +95,7 @@
     let cluster = Arc::new(Cluster::new(groups, peer_links));
     let router = create_router(&settings, &cluster, run, &journal).await;
     Ok(Arc::new(Node {
+        seeds: seeds::follow(&settings),
         settings,
         journal,
         cluster,
--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -17,6 +17,7 @@
 use crate::event::{Event, Journal, run_log_loop};
 use crate::operator::{OperatorFormat, serve_with_format};
 use crate::peer::{Cluster, PeerIdentity, PeerLinks, dispatch_outbox};
+use crate::seeds;
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::status_server::{install_metrics, metrics_response, serve_status};
@@ -90,6 +91,7 @@
     let groups = open_groups(&settings, folder.as_ref(), member, &outbox, &journal)?;
     tokio::spawn(dispatch_outbox(peer_links.clone(), outgoing));
     Ok(Arc::new(Node {
+        seeds: seeds::follow(&settings),
         settings,
         journal,
         cluster: Arc::new(Cluster::new(groups, peer_links)),
--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -13,6 +13,7 @@
     ProtocolVersion, RenewRequest, RenewResponse, dial,
 };
 use crate::policy::{Epoch, Tally};
+use crate::seeds;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -53,9 +54,9 @@
 /// Renews the lease in an endless loop.
 pub async fn keep_lease(gateway: Arc<Gateway>, identity: PeerIdentity) {
     let port = identity.address.port();
-    let seeds = gateway.settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+    let seeds = seeds::follow(&gateway.settings);
     let mut lease_loop = LeaseLoop {
-        voters: Voters::new(seeds.collect()),
+        voters: Voters::new(seeds, port),
         gateway,
         identity,
         state: RouterState::default(),
--- a/src/gateway/voters.rs
+++ b/src/gateway/voters.rs
@@ -1,14 +1,17 @@
 use crate::peer::Dialed;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// How long a voter is skipped after a failure, if there are others.
 const FAILED_VOTER_COOLDOWN: Duration = Duration::from_millis(1_500);
 
 /// The known voters, and the connection to the current leader.
 pub struct Voters {
-    /// The voters of the settings.
-    seeds: Vec<SocketAddr>,
+    /// Operator addresses of some voters, as the settings file names them now.
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// The port on which all daemons accept connections from peers.
+    port: u16,
     /// The voters that the leader reported last.
     pub known: Vec<SocketAddr>,
     /// The voter that was reported as leader.
@@ -21,10 +24,11 @@
 }
 
 impl Voters {
-    /// Starts with the voters of the settings.
-    pub fn new(seeds: Vec<SocketAddr>) -> Self {
+    /// Starts with the voters of the settings; `port` is where all daemons accept peers.
+    pub fn new(seeds: watch::Receiver<Vec<SocketAddr>>, port: u16) -> Self {
         Self {
             seeds,
+            port,
             known: Vec::new(),
             leader_hint: None,
             last_failed: None,
@@ -41,7 +45,9 @@
             return Some(leader_hint);
         }
         let mut all = self.known.clone();
-        all.extend(self.seeds.iter().filter(|seed| !self.known.contains(seed)));
+        let seeds = self.seeds.borrow();
+        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.port));
+        all.extend(seeds.filter(|seed| !self.known.contains(seed)));
         if all.len() > 1 {
             all.retain(|address| !self.failed_recently(*address));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peer;
 pub mod policy;
 pub mod route;
+pub mod seeds;
 pub mod settings;
 pub mod signals;
 pub mod status_server;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -35,6 +35,8 @@
 /// Validated settings of one daemon.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// The file that they were read from, if any.
+    pub file: Option<PathBuf>,
     /// Which parts of the system the daemon runs.
     pub role: Role,
     /// Name of this VM.
@@ -53,7 +55,8 @@
     pub cluster_secret: String,
     /// Peer addresses of the other daemons.
     pub peer_list: Vec<SocketAddr>,
-    /// Operator addresses of some voters. All daemons use the same port for peers, so peer
+    /// Operator addresses of some voters, as read at startup; [`crate::seeds::follow`] keeps up with
+    /// the file. All daemons use the same port for peers, so peer
     /// addresses are derived from them.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole cluster starts for the first time, with empty data folders.
@@ -121,7 +124,7 @@
         let text = std::fs::read_to_string(path)
             .map_err(|cause| Error::File { path: path.to_path_buf(), cause })?;
         let settings = Self::parse(&path.display().to_string(), &text)?;
-        Ok(settings)
+        Ok(Self { file: Some(path.to_path_buf()), ..settings })
     }
 
     /// Parses and validates the text of a settings file; `file` is used in messages only.
@@ -165,6 +168,7 @@
         let voters = r.number("cluster", "voters", 3, 1, 9) as usize;
         let losses = r.number("cluster", "losses", 0, 0, 4) as usize;
         Self {
+            file: None,
             role,
             vm: VmName::new(r.name("vm", "name")),
             data_centre: DataCentre::new(r.name("vm", "data_centre")),
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -3,7 +3,7 @@
 use crate::error::Error;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Handlers for SIGTERM (stop) and SIGHUP (ignored). A signal that arrives after registration is
+/// Handlers for SIGTERM (stop) and SIGHUP (logged). A signal that arrives after registration is
 /// kept until it is awaited.
 #[derive(Debug)]
 pub struct Signals {
@@ -23,12 +23,12 @@
         Ok(Self { terminate, hangup })
     }
 
-    /// Waits for SIGTERM. SIGHUP is logged and otherwise ignored.
+    /// Waits for SIGTERM. SIGHUP is logged only: seeds are read anew whenever the settings file changes.
     pub async fn wait_for_stop(mut self) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
-                _ = self.hangup.recv() => log::info!("SIGHUP ignored; restart to reload settings"),
+                _ = self.hangup.recv() => log::info!("SIGHUP: seeds are read anew when the file changes; restart to use other settings"),
             }
         }
     }
