--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -4,7 +4,8 @@
 use samphireshift::consensus::{Member, MemberId, Members};
 use samphireshift::group::{GroupId, GroupStatus};
 use samphireshift::name::{DataCentre, VmName};
-use samphireshift::peer::Directory;
+use samphireshift::peer::{Directory, KnownGroups};
+use std::time::Duration;
 
 const GROUP: GroupId = GroupId::Control;
 
@@ -105,3 +106,22 @@
     of_no_member.learn(GROUP, &GroupStatus::default());
     assert_eq!(of_no_member, empty);
 }
+
+/// Guards against links to new members that wait for the next check, and against a check for each ping.
+#[tokio::test]
+async fn only_news_wakes_who_waits() {
+    let groups = KnownGroups::default();
+    let woken = async |groups: &KnownGroups| {
+        tokio::time::timeout(Duration::from_millis(20), groups.wait()).await.is_ok()
+    };
+    groups.merge(OLD.directory());
+    assert!(woken(&groups).await, "new members");
+    groups.merge(OLD.directory());
+    assert!(!woken(&groups).await, "the same again");
+    groups.merge(NEW.directory());
+    assert!(woken(&groups).await, "newer members");
+    groups.merge(OLD.directory());
+    assert!(!woken(&groups).await, "older ones");
+    groups.wake();
+    assert!(woken(&groups).await, "a peer has connected");
+}
