Answer each question at control before its caller gives up

What callers saw: silence for a second and more at each daemon that does not lead, while the leader stands still, is gone, or cannot be elected; no Retry-After with 503. Cause: a question had 3.5 s; an attempt at a leader that stands still took 1 s and nobody else was asked beside it; a leader in name waited for a majority that does not come; nobody knew that nobody can lead. Change: a question has 800 ms from its head to the answer, and 100 ms more for each full MiB of its body. Reads are served by a leader that may serve reads after the read, as before. The product's own operator API keeps its 8 s and its waits; its 503 carries Retry-After: 1. Why it works: each wait inside a question is shorter than the question's limit, and that is shorter than the caller's patience. A line at info level and samphireshift_control_unanswered_total{reason} say what a question waited for.

--- a/src/daemon/operator_requests.rs
+++ b/src/daemon/operator_requests.rs
@@ -1,84 +1,60 @@
 //! Requests of operators, answered by the control group's leader or forwarded to it.
 
-use super::Node;
+use super::leader_question::{LeaderQuestion, Patience, leader_wait};
+use super::{NoAnswer, Node};
 use crate::control::{ControlCommand, ControlOutcome, RouteTable, Suspect, Ticket, TicketAnswer};
 use crate::event::Event;
+use crate::group::ReplicatedState;
 use crate::group::since_start;
-use crate::group::{GroupId, ReplicatedState};
 use crate::ledger::{Bill, BillSum, LedgerState};
 use crate::name::{OrganisationName, PoolName, VmName};
-use crate::peer::{OperatorRequest, OperatorResponse, Unavailable};
+use crate::peer::{OperatorRequest, OperatorResponse};
 use crate::settings::Settings;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tarpc::context;
 
 /// Maximum time to find a leader that answers.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(8);
-/// Time allowed for the leader's response beyond the wait in the request; then another leader is
-/// tried.
-const RESPONSE_MARGIN: Duration = Duration::from_secs(1);
 /// Time for a change to be committed and accepted in one request to the leader; then the request is
-/// made again. Shorter than the time after which another leader is tried.
+/// made again. Shorter than the time for which callers of the API wait.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum wait in one request to the leader; longer waits for a revision to be in force are split.
 const MAX_WAIT_PER_REQUEST: Duration = Duration::from_secs(1);
 /// Time after the election of the first leader in which changes require the target number of
 /// voters. Afterwards as many voters as there are seeds are enough, if that is less.
 const FORMATION_GRACE: Duration = Duration::from_secs(5);
-/// Delay before the next attempt to find the leader.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 impl Node {
     /// Sends a request to the leader of the control group (or handles it here if that is this
-    /// daemon), and retries until a leader responds.
+    /// daemon), and retries until a leader responds; longer waits for a revision are split.
     ///
     /// # Errors
     /// If no leader answers in time.
-    pub async fn ask_leader(
-        &self,
-        request: OperatorRequest,
-    ) -> Result<OperatorResponse, Unavailable> {
-        let wait = leader_wait(&request);
-        let started = Instant::now();
-        let mut deadline = started + LEADER_TIMEOUT;
-        let mut attempt = 0;
-        while Instant::now() < deadline {
-            let remaining = (started + wait).saturating_duration_since(Instant::now());
-            match self.ask_once(&with_partial_wait(&request, remaining), attempt).await {
-                Some(OperatorResponse::NotLeader { leader }) => {
-                    self.cluster.set_leader_hint(GroupId::Control, leader);
-                }
-                Some(OperatorResponse::OutcomeUnknown) => {}
-                // The leader may be down although its connection still looks alive.
-                None => self.cluster.set_leader_hint(GroupId::Control, None),
-                Some(OperatorResponse::InForce { reached: false, .. })
-                    if remaining > MAX_WAIT_PER_REQUEST =>
-                {
-                    deadline = Instant::now() + LEADER_TIMEOUT;
-                    continue;
-                }
-                Some(response) => return Ok(response),
+    pub async fn ask_leader(&self, request: OperatorRequest) -> Result<OperatorResponse, NoAnswer> {
+        let until = Instant::now() + leader_wait(&request);
+        loop {
+            let remaining = until.saturating_duration_since(Instant::now());
+            let patience = Patience::ThroughElection(Instant::now() + LEADER_TIMEOUT);
+            let partial = with_partial_wait(&request, remaining);
+            match self.ask_leader_for(partial, patience).await? {
+                OperatorResponse::InForce { reached: false, .. }
+                    if remaining > MAX_WAIT_PER_REQUEST => {}
+                response => return Ok(response),
             }
-            attempt += 1;
-            tokio::time::sleep(RETRY_DELAY).await;
         }
-        Err(Unavailable)
     }
 
-    async fn ask_once(
+    /// The same, for as long as the caller of the request waits.
+    ///
+    /// # Errors
+    /// If no leader answers in time, or it is known that nobody leads.
+    pub async fn ask_leader_for(
         &self,
-        request: &OperatorRequest,
-        attempt: usize,
-    ) -> Option<OperatorResponse> {
-        if self.cluster.control().status().leading {
-            return Some(self.handle_request(request.clone()).await);
-        }
-        let client = self.cluster.leader_client(GroupId::Control, attempt)?;
-        let mut context = context::current();
-        context.deadline = Instant::now() + leader_wait(request) + RESPONSE_MARGIN;
-        client.operate(context, request.clone()).await.ok()
+        request: OperatorRequest,
+        patience: Patience,
+    ) -> Result<OperatorResponse, NoAnswer> {
+        LeaderQuestion::new(self, request, patience).ask().await
     }
 
     /// Handles a request as leader. Leadership is checked after the request has been processed, so
@@ -333,14 +309,6 @@
     }
 }
 
-/// How long the leader may wait before it answers a request.
-fn leader_wait(request: &OperatorRequest) -> Duration {
-    match request {
-        OperatorRequest::AwaitInForce { wait_ms, .. } => Duration::from_millis(*wait_ms),
-        _ => Duration::ZERO,
-    }
-}
-
 /// The request with its wait limited to `MAX_WAIT_PER_REQUEST` and to the `remaining` time.
 fn with_partial_wait(request: &OperatorRequest, remaining: Duration) -> OperatorRequest {
     match request {
--- a/src/operator/http_server.rs
+++ b/src/operator/http_server.rs
@@ -7,7 +7,7 @@
 use crate::name::{OrganisationName, RequestId, VersionKey};
 use crate::peer::{NodeStatus, OperatorRequest, OperatorResponse};
 use bytes::BytesMut;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, HeaderValue, Method, header};
 use serde::Serialize;
 use std::net::TcpListener;
 use std::pin::pin;
@@ -31,6 +31,9 @@
 const MAX_WAIT_MS: u64 = 30_000;
 /// Maximum number of tickets that `/v1/tickets` lists, newest first.
 const MAX_LISTED_TICKETS: usize = 200;
+/// `Retry-After` where no leader answers, in whole seconds, which all clients can read. The wait itself has
+/// seen an election through.
+const RETRY_AFTER_SECONDS: &str = "1";
 
 /// Serves the operator API on a listener until the returned future's handle stops it.
 ///
@@ -314,5 +317,11 @@
 }
 
 fn error_response(ApiError(status, message): &ApiError) -> WebResponse {
-    json_response(*status, serde_json::json!({ "error": { "message": message } }).to_string())
+    let text = serde_json::json!({ "error": { "message": message } }).to_string();
+    let mut response = json_response(*status, text);
+    if *status == 503 {
+        let seconds = HeaderValue::from_static(RETRY_AFTER_SECONDS);
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
 }
--- a/src/operator/operator_format.rs
+++ b/src/operator/operator_format.rs
@@ -1,9 +1,10 @@
 //! Operator API of a voter, with paths and JSON documents that an [`OperatorFormat`] defines.
 
-use crate::daemon::Node;
+use crate::daemon::{NoAnswer, Node, Patience};
 use crate::name::PoolName;
 use crate::peer::{OperatorRequest, OperatorResponse};
 use bytes::Bytes;
+use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -14,13 +15,20 @@
 use std::convert::Infallible;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 /// Maximum size of the body of a request.
 const MAX_BODY_BYTES: usize = 16 << 20;
-/// How long to wait for the response of the leader.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(3_500);
+const BYTES_PER_MIB: usize = 1 << 20;
+/// From the head of a request to the response. Callers ask another daemon after a second without one; the rest
+/// is for the way there and back.
+const ANSWER_LIMIT: Duration = Duration::from_millis(800);
+/// Added to it for each full MiB of the body, for which callers wait longer.
+const BODY_ALLOWANCE: Duration = Duration::from_millis(100);
+/// The leader is asked for at least this long, however long the body took: a change that it gets is acknowledged when
+/// it is sent again.
+const MIN_ASK_TIME: Duration = Duration::from_millis(100);
 /// How long an operator may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -102,10 +110,16 @@
     format: &dyn OperatorFormat,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    let started = Instant::now();
     let (parts, body) = request.into_parts();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut limit = ANSWER_LIMIT;
     let parsed = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => format.parse_request(&parts.method, path, &body.to_bytes()),
+        Ok(body) => {
+            let body = body.to_bytes();
+            limit += BODY_ALLOWANCE * (body.len() / BYTES_PER_MIB) as u32;
+            format.parse_request(&parts.method, path, &body)
+        }
         Err(error) => Err(unreadable_body(&error.to_string())),
     };
     let request = match parsed {
@@ -115,10 +129,37 @@
             return json_response(error.status, format.write_error(&error));
         }
     };
-    let response = tokio::time::timeout(REQUEST_TIMEOUT, node.ask_leader(request)).await;
-    let response = response.ok().and_then(Result::ok).unwrap_or(OperatorResponse::OutcomeUnknown);
-    let (status, body) = format.write_response(&response);
-    json_response(status, body)
+    let deadline = (started + limit).max(Instant::now() + MIN_ASK_TIME);
+    match node.ask_leader_for(request, Patience::Until(deadline)).await {
+        Ok(OperatorResponse::TooFewVoters) => {
+            unanswered(format, &parts, started, &NoAnswer::TooFewVoters)
+        }
+        Ok(response) => {
+            let (status, body) = format.write_response(&response);
+            json_response(status, body)
+        }
+        Err(reason) => unanswered(format, &parts, started, &reason),
+    }
+}
+
+/// The response to a request that no leader has answered, with the time after which it is worth repeating.
+fn unanswered(
+    format: &dyn OperatorFormat,
+    request: &Parts,
+    started: Instant,
+    reason: &NoAnswer,
+) -> Response<Full<Bytes>> {
+    let (method, path, took) = (&request.method, request.uri.path(), started.elapsed());
+    log::info!("{method} {path} not answered after {} ms: {reason}", took.as_millis());
+    let code = reason.code();
+    metrics::counter!("samphireshift_control_unanswered_total", "reason" => code).increment(1);
+    let (status, body) = format.write_response(&OperatorResponse::OutcomeUnknown);
+    let mut response = json_response(status, body);
+    let seconds = reason.retry_after().as_secs_f64().to_string();
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
 }
 
 fn unreadable_body(cause: &str) -> OperatorError {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod departure;
 mod directory;
+mod group_reach;
 mod handshake;
 mod helper_request;
 mod identity;
@@ -23,6 +24,7 @@
 pub use cluster::{Cluster, Unavailable};
 pub use departure::{DepartureRequest, DepartureResponse};
 pub use directory::{Directory, Greeting, GroupContact};
+pub use group_reach::Askable;
 pub use handshake::{ConnectedPeer, HandshakeError, accept, connect};
 pub use helper_request::{HelperRequest, HelperResponse};
 pub use identity::PeerIdentity;
