Answer the questions that a voter has taken before it ends

What callers saw: a closed connection in the middle of a question at a daemon that stops: a change that waits for the leases of an earlier leader, or any question in the last milliseconds. Cause: the process ended with its questions open, and with connections in the kernel's queue. Change: at the end of a stop, after the transfer, the port takes what is queued and is closed, open questions get 503 with Retry-After: 0.1 (other daemons can answer), and the process waits for that, 300 ms at most. The groups stop afterwards. Why it works: the listener is dropped only when nothing is queued, and each open question ends at once.

--- a/src/daemon/no_answer.rs
+++ b/src/daemon/no_answer.rs
@@ -4,8 +4,9 @@
 
 /// When to ask again where a leader has to be elected, found or heard from: about half an election.
 const LEADER_PAUSE: Duration = Duration::from_millis(300);
-/// When to send a change again that is on its way: it is acknowledged as soon as it is accepted.
-const CHANGE_PAUSE: Duration = Duration::from_millis(100);
+/// When to ask again where the answer is near: a change on its way is acknowledged as soon as it is accepted, and
+/// other daemons answer for one that stops.
+const SHORT_PAUSE: Duration = Duration::from_millis(100);
 
 /// What a question to the control group's leader waited for when it ended without an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -25,6 +26,9 @@
     /// The group is being founded, and a change could still be lost with its first voters.
     #[error("too few voters have joined yet")]
     TooFewVoters,
+    /// This daemon ends.
+    #[error("this daemon stops")]
+    Stopping,
 }
 
 impl NoAnswer {
@@ -36,13 +40,14 @@
             Self::NotAccepted => "not_accepted",
             Self::NoMajority => "no_majority",
             Self::TooFewVoters => "too_few_voters",
+            Self::Stopping => "stopping",
         }
     }
 
     /// When it is worth asking again.
     pub fn retry_after(&self) -> Duration {
         match self {
-            Self::NotAccepted => CHANGE_PAUSE,
+            Self::NotAccepted | Self::Stopping => SHORT_PAUSE,
             _ => LEADER_PAUSE,
         }
     }
--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -25,10 +25,12 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Time for the new leaders to receive the leadership transfers before the groups stop.
 const LEADERSHIP_TRANSFER_WAIT: Duration = Duration::from_millis(300);
+/// Time for the last answers to operators after the port is closed.
+const LAST_ANSWERS_WAIT: Duration = Duration::from_millis(300);
 /// Maximum time to fetch the VM list.
 const VM_LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -69,8 +71,17 @@
     tokio::spawn(block_deadly_parts(node.clone()));
     tokio::spawn(keep_server_limits(node.clone()));
     tokio::spawn(run_log_loop(node.journal.clone()));
-    tokio::spawn(serve_with_format(node.clone(), format, operators));
+    let (stopping, stopped) = watch::channel(false);
+    let server = tokio::spawn(serve_with_format(node.clone(), format, operators, stopped));
     run_until_stopped(&node, signals).await;
+    // Fails only if the listener could not be used.
+    let _ = stopping.send(true);
+    if tokio::time::timeout(LAST_ANSWERS_WAIT, server).await.is_err() {
+        log::warn!("questions of operators are left unanswered at the end");
+    }
+    node.cluster.groups().for_each(|group| group.stop());
+    node.journal.record(Event::DaemonStopped);
+    node.journal.flush();
     Ok(())
 }
 
@@ -171,7 +182,4 @@
     node.leave_groups().await;
     node.cluster.groups().for_each(|group| group.transfer_leadership());
     tokio::time::sleep(LEADERSHIP_TRANSFER_WAIT).await;
-    node.cluster.groups().for_each(|group| group.stop());
-    node.journal.record(Event::DaemonStopped);
-    node.journal.flush();
 }
--- a/src/operator/operator_format.rs
+++ b/src/operator/operator_format.rs
@@ -14,9 +14,12 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::TcpListener;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 /// Maximum size of the body of a request.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -66,41 +69,75 @@
     fn write_error(&self, error: &OperatorError) -> Bytes;
 }
 
-/// Serves the operator API on a listener forever; returns only if the listener cannot be used.
+/// Serves the operator API on a listener until `stopping` holds; then answers what it has taken and returns. Also
+/// returns if the listener cannot be used.
 pub async fn serve_with_format(
     node: Arc<Node>,
     format: Arc<dyn OperatorFormat>,
     listener: TcpListener,
+    mut stopping: watch::Receiver<bool>,
 ) {
-    let non_blocking = listener.set_nonblocking(true).and_then(|()| listener.try_clone());
-    let listener = match non_blocking.and_then(tokio::net::TcpListener::from_std) {
+    let non_blocking = listener.set_nonblocking(true);
+    let listener = match non_blocking.and_then(|()| tokio::net::TcpListener::from_std(listener)) {
         Ok(listener) => listener,
         Err(error) => {
             log::error!("cannot serve the operator API: {error}");
             return;
         }
     };
+    let mut connections = JoinSet::new();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(node.clone(), format.clone(), stream));
-            }
-            Err(error) => {
-                log::warn!("cannot accept an operator connection: {error}");
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
+        tokio::select! {
+            // Connections that the kernel has taken come first: to drop them would be silence.
+            biased;
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let (node, format) = (node.clone(), format.clone());
+                    connections.spawn(serve_connection(node, format, stream, stopping.clone()));
+                }
+                Err(error) => {
+                    log::warn!("cannot accept an operator connection: {error}");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+            () = stop(&mut stopping) => break,
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
-async fn serve_connection(node: Arc<Node>, format: Arc<dyn OperatorFormat>, stream: TcpStream) {
+/// Waits until `stopping` holds.
+async fn stop(stopping: &mut watch::Receiver<bool>) {
+    // An error means that the daemon has ended, which is the same.
+    let _ = stopping.wait_for(|stopping| *stopping).await;
+}
+
+async fn serve_connection(
+    node: Arc<Node>,
+    format: Arc<dyn OperatorFormat>,
+    stream: TcpStream,
+    mut stopping: watch::Receiver<bool>,
+) {
+    let stopped = stopping.clone();
     let service = service_fn(|request| {
-        let (node, format) = (node.clone(), format.clone());
-        async move { Ok::<_, Infallible>(handle_request(&node, format.as_ref(), request).await) }
+        let (node, format, stopped) = (node.clone(), format.clone(), stopped.clone());
+        async move {
+            Ok::<_, Infallible>(handle_request(&node, format.as_ref(), request, stopped).await)
+        }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = stop(&mut stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
         log::debug!("operator connection failed: {error}");
     }
 }
@@ -109,6 +146,7 @@
     node: &Node,
     format: &dyn OperatorFormat,
     request: Request<Incoming>,
+    mut stopping: watch::Receiver<bool>,
 ) -> Response<Full<Bytes>> {
     let started = Instant::now();
     let (parts, body) = request.into_parts();
@@ -130,7 +168,12 @@
         }
     };
     let deadline = (started + limit).max(Instant::now() + MIN_ASK_TIME);
-    match node.ask_leader_for(request, Patience::Until(deadline)).await {
+    let answered = tokio::select! {
+        biased;
+        answered = node.ask_leader_for(request, Patience::Until(deadline)) => answered,
+        () = stop(&mut stopping) => Err(NoAnswer::Stopping),
+    };
+    match answered {
         Ok(OperatorResponse::TooFewVoters) => {
             unanswered(format, &parts, started, &NoAnswer::TooFewVoters)
         }
