Alarm in status while a group bears fewer losses than promised

Cause: an operator sees that a group has become too small only by counting voters and knowing the settings; the next loss that is promised to be borne then stops it.

Daemons of role voter serve no status of the tool: gauges and lines there.

Not played: a daemon of an older build among the daemons asked.

--- a/src/cli/cluster.rs
+++ b/src/cli/cluster.rs
@@ -1,7 +1,9 @@
 //! The commands `found`, `drain` and `status`.
 
 use super::Client;
+use super::health::{describe_alarm, describe_health};
 use crate::error::Error;
+use crate::peer::HealthView;
 use bytes::Bytes;
 use serde_json::Value;
 
@@ -38,10 +40,18 @@
     for missing in array_items(&cluster["missing"]) {
         println!("{}: not reached; what it does is unknown", text_or_none(missing));
     }
-    warnings(&cluster).iter().for_each(|warning| println!("attention: {warning}"));
+    let health = group_health(&cluster);
+    health.iter().for_each(|health| println!("{}", describe_health(health)));
+    let alarms = health.iter().filter_map(describe_alarm);
+    warnings(&cluster).into_iter().chain(alarms).for_each(|line| println!("attention: {line}"));
     Ok(())
 }
 
+/// The health of the groups; empty if the daemon is of a build that does not tell it.
+fn group_health(cluster: &Value) -> Vec<HealthView> {
+    serde_json::from_value(cluster["health"].clone()).unwrap_or_default()
+}
+
 /// Problems in the cluster that an operator should check.
 fn warnings(cluster: &Value) -> Vec<String> {
     let daemons = array_items(&cluster["daemons"]);
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod cluster;
 mod events;
+mod health;
 mod options;
 mod parts;
 mod ticket;
--- a/src/daemon/group_health.rs
+++ b/src/daemon/group_health.rs
@@ -4,8 +4,9 @@
 use super::Node;
 use super::membership_plan::{ALIVE_WITHIN, KnownVm, MembershipStep, MembershipView};
 use crate::consensus::{Member, MemberId};
-use crate::group::GroupStatus;
+use crate::group::{Group, GroupId, GroupStatus};
 use crate::name::VmName;
+use crate::peer::HealthView;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -105,6 +106,23 @@
         lines
     }
 
+    /// The same for operators.
+    fn to_view(&self, group: GroupId, leader: VmName) -> HealthView {
+        let silent = |voter: &SilentVoter| (voter.vm.clone(), voter.silent_for.as_millis() as u64);
+        HealthView {
+            group,
+            leader,
+            voters: self.voters as u32,
+            wished_voters: self.wished_voters as u32,
+            live_voters: self.live_voters as u32,
+            spares: self.spares as u32,
+            losses_borne: self.losses_borne as u32,
+            losses_promised: self.losses_promised as u32,
+            silent_voters: self.silent_voters.iter().map(silent).collect(),
+            plan: self.plan.to_string(),
+        }
+    }
+
     fn daemon_changes(&self, before: Option<&Self>) -> Vec<String> {
         let none = BTreeMap::new();
         let earlier = before.map_or(&none, |before| &before.daemons);
@@ -124,6 +142,17 @@
 }
 
 impl Node {
+    /// The health of all groups that this daemon leads, for operators.
+    pub fn health_views(&self) -> Vec<HealthView> {
+        self.cluster.groups().filter_map(|group| self.health_view(group)).collect()
+    }
+
+    fn health_view(&self, group: &Group) -> Option<HealthView> {
+        let status = group.status();
+        let leads = status.leading && group.may_serve_reads();
+        leads.then(|| self.group_health(&status).to_view(group.id(), self.member().vm))
+    }
+
     /// The health of a group that this daemon leads.
     pub(super) fn group_health(&self, status: &GroupStatus) -> GroupHealth {
         self.with_membership_view(status, GroupHealth::of)
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -4,10 +4,10 @@
 use crate::event::{Event, EventQuery};
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
-    DepartureRequest, DepartureResponse, EventResponse, Greeting, HelperRequest, HelperResponse,
-    LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus, OperatorRequest,
-    OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec, RenewRequest,
-    RenewResponse, SubmitResponse, SuspectReport, SuspectResponse, accept,
+    DepartureRequest, DepartureResponse, EventResponse, Greeting, HealthView, HelperRequest,
+    HelperResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
+    OperatorRequest, OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec,
+    RenewRequest, RenewResponse, SubmitResponse, SuspectReport, SuspectResponse, accept,
 };
 use bytes::Bytes;
 use futures::StreamExt;
@@ -93,6 +93,10 @@
         Greeting { identity: self.0.identity(), directory }
     }
 
+    async fn group_health(self, _: Context) -> Vec<HealthView> {
+        self.0.health_views()
+    }
+
     async fn depart(self, _: Context, request: DepartureRequest) -> DepartureResponse {
         self.0.take_departure(request)
     }
--- a/src/operator/http_server.rs
+++ b/src/operator/http_server.rs
@@ -5,7 +5,9 @@
 use crate::error::Error;
 use crate::event::EventQuery;
 use crate::name::{OrganisationName, RequestId, VersionKey};
-use crate::peer::{NodeStatus, OperatorRequest, OperatorResponse};
+use crate::peer::{
+    HealthView, Link, NodeStatus, OperatorRequest, OperatorResponse, ProtocolVersion,
+};
 use bytes::BytesMut;
 use http::{HeaderMap, Method};
 use serde::Serialize;
@@ -54,6 +56,8 @@
 struct ClusterStatus {
     daemons: Vec<NodeStatus>,
     missing: Vec<String>,
+    /// The health of each group, from its leader.
+    health: Vec<HealthView>,
 }
 
 /// HTTP status and message of a request that is refused.
@@ -231,23 +235,41 @@
 
 /// Collects the status of all daemons; those that do not answer in time are listed as missing.
 async fn cluster_status(node: &Node) -> ClusterStatus {
-    let mut cluster = ClusterStatus { daemons: vec![node.status()], missing: Vec::new() };
+    let (daemons, missing) = (vec![node.status()], Vec::new());
+    let mut cluster = ClusterStatus { daemons, missing, health: node.health_views() };
     let links = node.cluster.peers().all();
-    let requests = links.iter().map(|link| async move {
-        let mut context = context::current();
-        context.deadline = Instant::now() + STATUS_TIMEOUT;
-        link.client()?.status(context).await.ok()
-    });
+    let requests = links.iter().map(|link| peer_status(link));
     for (link, response) in links.iter().zip(futures::future::join_all(requests).await) {
         match response {
-            Some(status) => cluster.daemons.push(status),
+            Some((status, health)) => {
+                cluster.daemons.push(status);
+                cluster.health.extend(health);
+            }
             None => cluster.missing.push(link.address().to_string()),
         }
     }
     cluster.daemons.sort_by(|a, b| a.vm.cmp(&b.vm));
+    cluster.health.sort_by(|a, b| (a.group, &a.leader).cmp(&(b.group, &b.leader)));
     cluster
 }
 
+/// The status of a daemon and the health of the groups that it leads, which earlier builds do not tell.
+async fn peer_status(link: &Link) -> Option<(NodeStatus, Vec<HealthView>)> {
+    let client = link.client()?;
+    let mut context = context::current();
+    context.deadline = Instant::now() + STATUS_TIMEOUT;
+    if link.version() < Some(ProtocolVersion::GROUP_HEALTH) {
+        return Some((client.status(context).await.ok()?, Vec::new()));
+    }
+    let (status, health) =
+        futures::future::join(client.status(context), client.group_health(context)).await;
+    let health = health.unwrap_or_else(|error| {
+        log::info!("{} does not tell the health of its groups: {error}", link.address());
+        Vec::new()
+    });
+    Some((status.ok()?, health))
+}
+
 async fn read_ticket(body: RequestBody) -> Result<Ticket, ApiError> {
     let timed_out = || {
         ApiError(
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -29,6 +29,8 @@
     pub const DEPARTURES: Self = Self(8);
     /// Since this version, daemons hand on what they know of the members of groups with their pings.
     pub const DIRECTORIES: Self = Self(9);
+    /// Since this version, daemons tell the health of the groups that they lead.
+    pub const GROUP_HEALTH: Self = Self(10);
     /// The version of this build.
-    pub const CURRENT: Self = Self::DIRECTORIES;
+    pub const CURRENT: Self = Self::GROUP_HEALTH;
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -3,10 +3,10 @@
 #![allow(missing_docs, reason = "the macro generates undocumented items")]
 
 use super::{
-    DepartureRequest, DepartureResponse, EventResponse, Greeting, HelperRequest, HelperResponse,
-    LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus, OperatorRequest,
-    OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest, RenewResponse,
-    SubmitResponse, SuspectReport, SuspectResponse,
+    DepartureRequest, DepartureResponse, EventResponse, Greeting, HealthView, HelperRequest,
+    HelperResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
+    OperatorRequest, OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest,
+    RenewResponse, SubmitResponse, SuspectReport, SuspectResponse,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -48,4 +48,6 @@
     /// As `ping`; also returns the daemon's directory of groups if its digest is not `digest`. Needs
     /// protocol version 9.
     async fn greet(digest: u64) -> Greeting;
+    /// Returns the health of the groups that this daemon leads. Needs protocol version 10.
+    async fn group_health() -> Vec<HealthView>;
 }
--- a/tests/group_alarm.rs
+++ b/tests/group_alarm.rs
@@ -1,5 +1,5 @@
-//! What an operator sees of a group that has lost a voter: lines of the log and gauges. Real daemon
-//! processes.
+//! What an operator sees of a group that has lost a voter: lines of the log, gauges and the
+//! alarm in `status`. Real daemon processes.
 
 mod env;
 
@@ -110,6 +110,54 @@
     );
 }
 
+/// What `status` of the tool prints, asked at a daemon.
+fn status(fleet: &Fleet, i: usize) -> String {
+    String::from_utf8_lossy(&fleet.run_tool(i, &["status"]).stdout).into_owned()
+}
+
+/// The entry of the control group under `health` of the status as JSON.
+fn control_health(fleet: &Fleet, i: usize) -> Value {
+    let output = fleet.run_tool(i, &["--json", "status"]);
+    let status: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    let groups = status["health"].as_array().cloned().unwrap_or_default();
+    groups.into_iter().find(|health| health["group"] == "Control").unwrap_or_default()
+}
+
+/// Guards against a fleet that bears no loss any more and says so to nobody, and against an alarm that stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_alarms_while_a_voter_of_three_is_down() {
+    let mut fleet = start().await;
+    let leader = fleet.leader().await;
+    let (lost, follower) = ((leader + 1) % 3, (leader + 2) % 3);
+    // The leader is asked itself, the follower asks it.
+    for asked in [leader, follower] {
+        await_until("the group is sound and does not alarm", async || {
+            let status = status(&fleet, asked);
+            status.contains("control: 3 of 3 voters live") && !status.contains("the group bears")
+        })
+        .await;
+        assert_eq!(control_health(&fleet, asked)["losses_borne"], 1);
+    }
+    fleet.daemons[lost].process.kill();
+    let alarm = format!(
+        "attention: control: the group bears 0 losses, 1 is promised; silent voters: {} for ",
+        fleet.daemons[lost].name
+    );
+    for asked in [leader, follower] {
+        await_until("the alarm shows", async || status(&fleet, asked).contains(&alarm)).await;
+        let health = control_health(&fleet, asked);
+        assert_eq!((&health["losses_borne"], &health["losses_promised"]), (&0.into(), &1.into()));
+    }
+    fleet.restart(lost);
+    for asked in [leader, follower] {
+        await_until("the alarm is gone", async || {
+            let status = status(&fleet, asked);
+            status.contains("control: 3 of 3 voters live") && !status.contains("the group bears")
+        })
+        .await;
+    }
+}
+
 /// Guards against a log that fills with a line for each check.
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_is_logged_while_nothing_changes() {
