Hold the line on a refused step to a test

Change: which line an outcome brings is decided apart from writing it; a test tries refusals in a row.

--- a/src/daemon/health_watch.rs
+++ b/src/daemon/health_watch.rs
@@ -39,18 +39,29 @@
         step: &MembershipStep,
         outcome: Result<(), ProposeError>,
     ) {
-        let refusal = outcome.err().map(|error| (step.clone(), error));
-        let last = self.groups.get_mut(&group).map(|watched| &mut watched.refusal);
-        match &refusal {
-            None => log::info!("{group}: step taken: {step}"),
-            Some(_) if last.as_deref() == Some(&refusal) => {}
-            Some((_, error)) => log::info!("{group}: step refused: {step}: {error}"),
-        }
-        if let Some(last) = last {
-            *last = refusal;
+        if let Some(line) = self.outcome_line(group, step, outcome) {
+            log::info!("{group}: {line}");
         }
     }
 
+    /// The line on an outcome; `None` if the same step was refused for the same reason just before.
+    pub fn outcome_line(
+        &mut self,
+        group: GroupId,
+        step: &MembershipStep,
+        outcome: Result<(), ProposeError>,
+    ) -> Option<String> {
+        let refusal = outcome.err().map(|error| (step.clone(), error));
+        let line = match &refusal {
+            None => format!("step taken: {step}"),
+            Some((_, error)) => format!("step refused: {step}: {error}"),
+        };
+        let Some(watched) = self.groups.get_mut(&group) else { return Some(line) };
+        let is_known = refusal.is_some() && watched.refusal == refusal;
+        watched.refusal = refusal;
+        (!is_known).then_some(line)
+    }
+
     /// Clears the gauges of a group that this daemon does not lead any more.
     pub fn stop(&mut self, group: GroupId) {
         if self.groups.remove(&group).is_some() {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -28,6 +28,7 @@
 mod warm_up_rates;
 
 pub use group_health::{GroupHealth, MembershipPlan, SeenDaemon, SilentVoter};
+pub use health_watch::HealthWatch;
 pub use membership_plan::{KnownVm, MembershipStep, MembershipView};
 pub use node::Node;
 pub use start::run;
--- a/tests/group_health.rs
+++ b/tests/group_health.rs
@@ -1,8 +1,11 @@
 //! Table test of the report that a leader gives of its group, and of the lines that come of it.
 
 use rstest::rstest;
-use samphireshift::consensus::{Member, MemberId, Members};
-use samphireshift::daemon::{GroupHealth, KnownVm, MembershipPlan, MembershipStep, MembershipView};
+use samphireshift::consensus::{Member, MemberId, Members, ProposeError};
+use samphireshift::daemon::{
+    GroupHealth, HealthWatch, KnownVm, MembershipPlan, MembershipStep, MembershipView,
+};
+use samphireshift::group::GroupId;
 use samphireshift::name::{DataCentre, VmName};
 use std::time::Duration;
 
@@ -231,3 +234,27 @@
     let before = change.before.map(|sight| sight.health());
     assert_eq!(change.now.health().changes_since(before.as_ref()), change.lines);
 }
+
+/// Guards against a step that consensus refuses unseen, and against a line for each time that it is tried.
+#[test]
+fn a_refusal_is_told_once_until_the_step_or_the_reason_changes() {
+    let mut watch = HealthWatch::default();
+    watch.report(GroupId::Control, THREE.health());
+    let (add, remove) = (MembershipStep::Add(member('x')), MembershipStep::Remove(member('c')));
+    let (pending, lost) = (Err(ProposeError::ChangePending), Err(ProposeError::NotLeader));
+    let told = [
+        (&add, pending, Some("step refused: add x as a learner: an earlier change is not")),
+        (&add, pending, None),
+        (&remove, pending, Some("step refused: remove c: an earlier change is not")),
+        (&remove, lost, Some("step refused: remove c: this member is not the leader")),
+        (&remove, lost, None),
+        (&remove, Ok(()), Some("step taken: remove c")),
+        (&remove, lost, Some("step refused: remove c: this member is not the leader")),
+    ];
+    for (step, outcome, expected) in told {
+        let line = watch.outcome_line(GroupId::Control, step, outcome);
+        let starts = |start: &str| line.as_ref().is_some_and(|line| line.starts_with(start));
+        assert!(expected.map_or(line.is_none(), starts), "{line:?} instead of {expected:?}");
+        watch.report(GroupId::Control, THREE.health());
+    }
+}
