--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -30,6 +30,7 @@
 mod warm_up_rates;
 
 pub use group_health::{GroupHealth, MembershipPlan, SeenDaemon, SilentVoter};
+pub use health_watch::HealthWatch;
 pub use leader_question::Patience;
 pub use membership_plan::{KnownVm, MembershipStep, MembershipView};
 pub use no_answer::NoAnswer;
