--- /dev/null
+++ b/tests/group_play/loss.rs
@@ -0,0 +1,8 @@
+/// A loss that takes one from the number that may be lost at once.
+#[derive(Debug, Clone)]
+pub struct Loss {
+    /// The machine, and its successor if there is one.
+    pub slots: Vec<usize>,
+    /// Until when it counts; not known while the machine is away.
+    pub until: Option<u64>,
+}
