Let a process that starts again lead no longer in the play

A leader that was killed and back before the election led on with its old time of office, so that a voter it had not heard since its start counted as silent for as long. A kill of all now also makes what is lost beside it count until all have had their time, as machines that are killed are down.

--- a/tests/group_play/losing.rs
+++ b/tests/group_play/losing.rs
@@ -57,8 +57,11 @@
 
     fn come_back(&mut self, slot: usize, wiped: bool) {
         let until = Some(self.now + self.setting.catch_up_ms());
-        let losses = self.losses.iter_mut().filter(|loss| loss.slots.contains(&slot));
-        losses.for_each(|loss| loss.until = until);
+        // Machines that are killed are down: what is lost beside them counts until they have had their time.
+        let killed = self.machines[slot].state == State::Killed;
+        let beside =
+            |loss: &&mut Loss| loss.slots.contains(&slot) || killed && loss.until.is_some();
+        self.losses.iter_mut().filter(beside).for_each(|loss| loss.until = until.max(loss.until));
         let seeds = self.draw_seeds(slot);
         self.log.push(format!("{} {slot} is back, wiped: {wiped}, seeds {seeds:?}", self.now));
         let next_id = self.next_id;
@@ -164,6 +167,7 @@
             let away = self.between(if is_long { LONG_AWAY_MS } else { AWAY_MS });
             self.machines[slot].state =
                 if trouble == Trouble::Still { State::Still } else { State::Off };
+            self.leader = self.leader.filter(|(leader, _)| *leader != slot);
             let event = match trouble {
                 Trouble::Gone => (self.now + SUCCESSOR_MS, Event::Successor { slot }),
                 _ => {
@@ -198,6 +202,7 @@
     }
 
     fn kill_all(&mut self) {
+        self.leader = None;
         for slot in 0..self.machines.len() {
             if self.machines[slot].is_sound() {
                 self.machines[slot].state = State::Killed;
