Give up a lost voter without a successor only as a last resort

What callers saw: no leader for good after the second loss of two machines of the core. Cause: of more than three voters, a lost one was removed when the leader saw no candidate at that moment, so two seconds of a cut, or a spare that the leader had not heard of, left three or four voters where five were promised; two disks lost then leave no majority, or lose what two voters had acknowledged.

Change: lost voters are kept. The last resort is taken only if no candidate is seen, each voter to go has been silent for 15 times replace_after (30 s), and the group bears more losses without them: two of an odd number, one of an even one. New: MembershipView::borne_losses.

--- a/src/daemon/membership_plan.rs
+++ b/src/daemon/membership_plan.rs
@@ -8,6 +8,13 @@
 /// A VM that was heard from within this time counts as alive.
 const ALIVE_WITHIN: Duration = Duration::from_secs(1);
 
+/// A lost voter that nobody can replace is given up after this many times `replace_after`: longer than
+/// any cut, freeze or restart that a fleet has to bear.
+const GIVE_UP_FACTOR: u32 = 15;
+
+/// The smallest group that bears a loss; it is not made smaller.
+const SMALLEST_GROUP: usize = 3;
+
 /// A VM known to the leader, under a member id that it has or had.
 #[derive(Debug, Clone)]
 pub struct KnownVm {
@@ -77,6 +84,7 @@
         let step = self
             .resolve_learner()
             .or_else(|| self.remove_excess())
+            .or_else(|| self.give_up_lost())
             .or_else(|| self.add_learner())?;
         let next = step.apply(self.members);
         let safe = self.keeps_quorum(&next) && diskless_voters(&next) * 2 < next.voters.len();
@@ -97,27 +105,43 @@
         ready.then(|| MembershipStep::Promote(learner.clone()))
     }
 
-    /// Removes a voter if there are more than the target, or if lost voters cannot be replaced.
+    /// How many more voters may be lost before no majority is left: the live voters less the quorum.
+    pub fn borne_losses(&self) -> usize {
+        let live = self.members.voters.iter().filter(|m| self.is_alive(m)).count();
+        live.saturating_sub(self.members.quorum())
+    }
+
+    /// Removes a voter if there are more than the target.
     fn remove_excess(&self) -> Option<MembershipStep> {
-        if !self.members.learners.is_empty() {
+        let voters = &self.members.voters;
+        if !self.members.learners.is_empty() || voters.len() <= self.target_voters {
             return None;
         }
-        let voters = &self.members.voters;
         let others = || voters.iter().filter(|m| m.id != self.leader);
         let lost = others().find(|m| self.is_lost(m));
-        // With two of five voters lost, another loss would cost the quorum. Once both are removed,
-        // the remaining three tolerate one loss.
-        let irreplaceable = voters.len() > 3 && lost.is_some() && self.best_candidate().is_none();
-        if voters.len() <= self.target_voters && !irreplaceable {
-            return None;
-        }
+        let leaving = || others().find(|m| self.is_leaving(m));
+        let going = lost.or_else(leaving);
         let diskless = || others().find(|m| !m.durable);
         let crowded = || others().max_by_key(|m| self.voters_in(&m.data_centre));
-        let leaving = || others().find(|m| self.is_leaving(m));
-        let surplus = lost.or_else(leaving).or_else(diskless).or_else(crowded)?;
+        let surplus = going.or_else(diskless).or_else(crowded)?;
         Some(MembershipStep::Remove(surplus.clone()))
     }
 
+    /// Removes a voter that has been silent for so long that it is given up, as the last resort: nobody
+    /// can take its place, and the smaller group bears more losses.
+    fn give_up_lost(&self) -> Option<MembershipStep> {
+        let voters = &self.members.voters;
+        let stays = !self.members.learners.is_empty() || voters.len() <= SMALLEST_GROUP;
+        if stays || self.best_candidate().is_some() {
+            return None;
+        }
+        let given_up = voters.iter().filter(|m| m.id != self.leader && self.is_given_up(m));
+        // An odd group and the next smaller one have the same quorum, so it takes two of an odd one.
+        let needed = 1 + voters.len() % 2;
+        let given_up: Vec<&Member> = given_up.collect();
+        (given_up.len() >= needed).then(|| MembershipStep::Remove(given_up[0].clone()))
+    }
+
     /// Adds a learner if too few voters are live (a diskless VM) or live with a disk (a VM with a
     /// disk), or if a VM with a disk would spread the voters over more data centres.
     fn add_learner(&self) -> Option<MembershipStep> {
@@ -178,6 +202,13 @@
         self.known_vms.iter().any(|known| silent(known) || reidentified(known))
     }
 
+    /// Whether a member has been silent for longer than any cut, freeze or restart lasts.
+    fn is_given_up(&self, member: &Member) -> bool {
+        let limit = self.replace_after * GIVE_UP_FACTOR;
+        let known = self.known_vms.iter().find(|known| known.member.id == member.id);
+        known.is_some_and(|known| known.silent_for >= limit)
+    }
+
     fn is_leaving(&self, member: &Member) -> bool {
         self.known_vms.iter().any(|known| known.member.id == member.id && known.leaving)
     }
