Remove no voter that lives while another one is not heard

Change: beyond the target, a voter that neither is lost nor leaves goes only when all others are alive and linked.

Where the leader does not know the successors, a group that keeps its lost voters has no majority sooner by this check: the planner alone does not mend it.

--- a/src/daemon/membership_plan.rs
+++ b/src/daemon/membership_plan.rs
@@ -111,7 +111,8 @@
         live.saturating_sub(self.members.quorum())
     }
 
-    /// Removes a voter if there are more than the target.
+    /// Removes a voter if there are more than the target: one that is lost or leaves. Another one only if
+    /// all are heard, as a new leader does not know yet which of them are lost.
     fn remove_excess(&self) -> Option<MembershipStep> {
         let voters = &self.members.voters;
         if !self.members.learners.is_empty() || voters.len() <= self.target_voters {
@@ -121,6 +122,9 @@
         let lost = others().find(|m| self.is_lost(m));
         let leaving = || others().find(|m| self.is_leaving(m));
         let going = lost.or_else(leaving);
+        if going.is_none() && others().any(|m| !self.is_heard(m)) {
+            return None;
+        }
         let diskless = || others().find(|m| !m.durable);
         let crowded = || others().max_by_key(|m| self.voters_in(&m.data_centre));
         let surplus = going.or_else(diskless).or_else(crowded)?;
@@ -222,6 +226,12 @@
         next.voters.iter().filter(|m| self.is_alive(m)).count() >= next.quorum()
     }
 
+    /// Whether a member is alive and its link is connected.
+    fn is_heard(&self, member: &Member) -> bool {
+        let known = self.known_vms.iter().find(|known| known.member.id == member.id);
+        known.is_some_and(|known| known.available && known.silent_for < ALIVE_WITHIN)
+    }
+
     fn is_alive(&self, member: &Member) -> bool {
         let known = self.known_vms.iter().find(|known| known.member.id == member.id);
         known.is_some_and(|known| known.silent_for < ALIVE_WITHIN)
--- a/tests/membership_plan.rs
+++ b/tests/membership_plan.rs
@@ -149,6 +149,14 @@
     voters: "a1d0 b1d1 c1d2", learners: "", candidates: "", lost: "b! c!", leaving: "", caught_up: false,
     expected: "",
 })]
+#[case::no_other_voter_is_removed_while_one_is_silent(Case {
+    voters: "a1d0 b1d1 c1d2 d1d0", learners: "", candidates: "", lost: "b?", leaving: "", caught_up: false,
+    expected: "",
+})]
+#[case::no_other_voter_is_removed_while_one_is_not_linked(Case {
+    voters: "a1d0 b1d1 c1d2 d1d0", learners: "", candidates: "", lost: "b/", leaving: "", caught_up: false,
+    expected: "",
+})]
 #[case::a_successor_is_added_for_a_voter_that_leaves(Case {
     voters: "a1d0 b1d1 c1d2", learners: "", candidates: "d1d0 e1d2", lost: "", leaving: "c", caught_up: false,
     expected: "add e1d2",
