Let a new leader count the silence that its links have seen

Leaders that are lost one after the other put off the replacement of the first lost voter by an election and replace_after each time, past the time after which the next loss may come.

Change: a voter that has acknowledged nothing to a new leader within a second is silent since its link last answered; within the first second, and where the link never answered, as before.

--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -1,7 +1,7 @@
 //! Membership changes by the leaders of groups, and discovery of the cluster and its members.
 
 use super::Node;
-use super::membership_plan::{KnownVm, MembershipStep, MembershipView};
+use super::membership_plan::{KnownVm, MembershipStep, MembershipView, voter_heard};
 use crate::consensus::{Member, MemberId};
 use crate::event::Event;
 use crate::group::{Group, GroupStatus, since_start};
@@ -104,7 +104,7 @@
             status.last_contacts.iter().find(|(other, _)| *other == id).map(|(_, at)| *at);
         // A voter that answers pings but not the group's messages counts as silent.
         let last = match status.members.is_voter(id) {
-            true => acknowledged.unwrap_or_default().max(status.leader_since),
+            true => voter_heard(acknowledged, heard, status.leader_since, now),
             false => heard,
         };
         let member = Member { id, vm, data_centre, address, durable };
--- a/src/daemon/membership_plan.rs
+++ b/src/daemon/membership_plan.rs
@@ -238,6 +238,22 @@
     }
 }
 
+/// When a voter was last heard, in a leader's view; all times count from the start of its process. Until a
+/// voter has acknowledged something to this leader, its silence counts from the start of the office, and
+/// once it has had the time to answer, from when its link was last `heard`.
+pub fn voter_heard(
+    acknowledged: Option<Duration>,
+    heard: Duration,
+    leader_since: Duration,
+    now: Duration,
+) -> Duration {
+    match acknowledged {
+        Some(at) => at.max(leader_since),
+        None if now < leader_since + ALIVE_WITHIN => leader_since,
+        None => heard.min(leader_since),
+    }
+}
+
 fn diskless_voters(members: &Members) -> usize {
     members.voters.iter().filter(|m| !m.durable).count()
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -25,7 +25,7 @@
 mod wait;
 mod warm_up_rates;
 
-pub use membership_plan::{KnownVm, MembershipStep, MembershipView};
+pub use membership_plan::{KnownVm, MembershipStep, MembershipView, voter_heard};
 pub use node::Node;
 pub use start::run;
 pub use voter::run_voter;
--- a/tests/group_play/planning.rs
+++ b/tests/group_play/planning.rs
@@ -4,7 +4,7 @@
 use crate::play::{Play, TICK_MS};
 use crate::state::State;
 use samphireshift::consensus::{Member, MemberId};
-use samphireshift::daemon::{KnownVm, MembershipStep, MembershipView};
+use samphireshift::daemon::{KnownVm, MembershipStep, MembershipView, voter_heard};
 use std::time::Duration;
 
 /// How often the leader plans.
@@ -57,13 +57,21 @@
     }
 
     fn known_vm(&self, member: Member, at: u64, available: bool, slot: usize) -> KnownVm {
-        let at = if self.members().is_voter(member.id) { at.max(self.led_since()) } else { at };
+        let at = if self.members().is_voter(member.id) { self.voter_heard(at) } else { at };
         let leaving =
             self.machines[slot].told_at.is_some() && self.machines[slot].member.id == member.id;
         let silent_for = Duration::from_millis(self.now - at);
         KnownVm { member, available, silent_for, leaving }
     }
 
+    /// A voter acknowledges whatever the leader sends over its link.
+    fn voter_heard(&self, at: u64) -> u64 {
+        let since = self.led_since();
+        let acknowledged = (at > since).then_some(Duration::from_millis(at));
+        let [heard, since, now] = [at, since, self.now].map(Duration::from_millis);
+        voter_heard(acknowledged, heard, since, now).as_millis() as u64
+    }
+
     fn led_since(&self) -> u64 {
         self.leader.map_or(self.now, |(_, since)| since)
     }
--- a/tests/membership_plan.rs
+++ b/tests/membership_plan.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use samphireshift::consensus::{Member, MemberId, Members};
-use samphireshift::daemon::{KnownVm, MembershipStep, MembershipView};
+use samphireshift::daemon::{KnownVm, MembershipStep, MembershipView, voter_heard};
 use samphireshift::name::{DataCentre, VmName};
 use std::time::Duration;
 
@@ -276,3 +276,22 @@
     let members = Members { voters: member_list(case.voters), learners: Vec::new() };
     assert_eq!(with_view(&case, &members, 5, |view| view.borne_losses()), expected);
 }
+
+/// Guards against a new leader that waits as long again for a voter that was silent before, and against one
+/// that takes a voter for lost which has had no time to answer. The leader leads since 10.0 s.
+#[rstest]
+#[case::silent_long_before(None, 5_000, 11_000, 5_000)]
+#[case::no_time_to_answer(None, 5_000, 10_999, 10_000)]
+#[case::answers_pings_but_stores_nothing(None, 12_500, 13_000, 10_000)]
+#[case::acknowledges(Some(12_000), 12_500, 13_000, 12_000)]
+#[case::acknowledged_to_the_office_before(Some(9_000), 9_500, 13_000, 10_000)]
+fn silence_of_a_voter(
+    #[case] acknowledged_ms: Option<u64>,
+    #[case] heard_ms: u64,
+    #[case] now_ms: u64,
+    #[case] expected_ms: u64,
+) {
+    let ms = Duration::from_millis;
+    let last = voter_heard(acknowledged_ms.map(ms), ms(heard_ms), ms(10_000), ms(now_ms));
+    assert_eq!(last, ms(expected_ms));
+}
