--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -32,7 +32,7 @@
 pub use group_health::{GroupHealth, MembershipPlan, SeenDaemon, SilentVoter};
 pub use health_watch::HealthWatch;
 pub use leader_question::Patience;
-pub use membership_plan::{KnownVm, MembershipStep, MembershipView};
+pub use membership_plan::{KnownVm, MembershipStep, MembershipView, voter_heard};
 pub use no_answer::NoAnswer;
 pub use node::Node;
 pub use start::run;
