Mind newer members, terms and clusters in what is told of groups

The newest members that it knows of count now, and it no longer keeps links to the old ones. - A voter in an election named a leader of the term that it knows to be lost. - Directories carried no cluster: members of another one would have stayed for good. - The seeds' file could change between the start and the first look; an emptied list stopped all linking. - A voter that leaves asked nobody while the leader's link was down; a command was sent again to a told leader that stands still: each second attempt now asks another daemon.

--- a/src/daemon/departures.rs
+++ b/src/daemon/departures.rs
@@ -121,7 +121,8 @@
 async fn ask_leader(cluster: &Cluster, group: &Group, attempt: usize) -> Option<DepartureResponse> {
     let id = group.id();
     if let Some(leader) = cluster.leader(id)
-        && cluster.peers().version_of(&leader)? < ProtocolVersion::DEPARTURES
+        && let Some(version) = cluster.peers().version_of(&leader)
+        && version < ProtocolVersion::DEPARTURES
     {
         return Some(DepartureResponse::NoSuccessor);
     }
--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -42,17 +42,20 @@
 /// seeds. Each member connects back, so whoever leads knows this daemon. Old links to other daemons are
 /// dropped.
 fn connect_peers(node: &Node) {
-    let seeds = node.seeds.borrow().clone();
-    if seeds.is_empty() {
+    if !node.discovers() {
         return;
     }
+    let seeds = node.seeds.borrow().clone();
     let port = node.settings.peer_address.port();
     let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
     let mut addresses: BTreeSet<SocketAddr> = seeds.collect();
-    addresses.extend(node.cluster.peers().groups().directory().members().map(|m| m.address));
-    for status in node.cluster.groups().map(|group| group.status()) {
+    let directory = node.cluster.peers().groups().directory();
+    addresses.extend(directory.members().map(|member| member.address));
+    for group in node.cluster.groups() {
+        let status = group.status();
+        let told = directory.group(group.id()).map(|told| told.version);
         // A committed membership is in the directory, or replaced by a newer one there.
-        if !status.members_committed {
+        if told < Some(status.members_version) {
             addresses.extend(status.members.all().map(|member| member.address));
         }
     }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -134,10 +134,15 @@
         self.cluster.leader_address(GroupId::Control)
     }
 
+    /// Whether daemons discover each other through seeds. A list that is emptied later changes nothing in that.
+    pub fn discovers(&self) -> bool {
+        !self.settings.seeds.is_empty() || !self.seeds.borrow().is_empty()
+    }
+
     /// Handles a new connection from a peer. If daemons discover each other through seeds, this
     /// daemon connects back to a peer with a disk, because that peer may become a voter.
     pub fn on_peer_connected(&self, peer: &PeerIdentity) {
-        if peer.durable && !self.settings.seeds.is_empty() {
+        if peer.durable && self.discovers() {
             self.cluster.peers().add(peer.address);
         }
         self.helpers.record_place(peer);
--- a/src/peer/cluster.rs
+++ b/src/peer/cluster.rs
@@ -144,27 +144,40 @@
         }
     }
 
-    /// A client to the group's leader. If the leader is unknown or not connected, a client to one
-    /// of the connected daemons, which may know it; consecutive attempts go through all of them.
+    /// A client to the group's leader. If the leader is unknown or not connected, and at each second
+    /// attempt, a client to one of the connected daemons, which may know it; consecutive attempts go
+    /// through all of them.
     pub fn leader_client(&self, id: GroupId, attempt: usize) -> Option<PeerClient> {
         let leader = self.leader(id).and_then(|vm| self.peers.client(&vm));
-        if leader.is_some() {
+        if leader.is_some() && attempt.is_multiple_of(2) {
             return leader;
         }
         let connected: Vec<_> = self.peers.all().iter().filter_map(|link| link.client()).collect();
-        connected.get(attempt % connected.len().max(1)).cloned()
+        let turn = if leader.is_some() { attempt / 2 } else { attempt };
+        connected.get(turn % connected.len().max(1)).cloned()
     }
 
-    /// The leader according to this daemon's member of the group.
+    /// The leader according to this daemon's member of the group; none where a leader of a later term was told,
+    /// as a member that was removed keeps its last one.
     fn own_leader(&self, id: GroupId) -> Option<Member> {
         let status = self.groups.get(&id)?.status();
         let leader = status.leader?;
+        let directory = self.peers.groups().directory();
+        if directory.group(id).is_some_and(|told| told.term > status.term) {
+            return None;
+        }
         status.members.all().find(|member| member.id == leader).cloned()
     }
 
-    /// The leader as handed on with pings.
+    /// The leader as handed on with pings. A voter that knows of no leader in the term of a told one, or in a
+    /// later one, has lost that leader.
     fn told_leader(&self, id: GroupId) -> Option<Member> {
-        let directory = self.peers.groups().directory();
-        directory.group(id)?.leader().cloned()
+        let (group, directory) = (self.groups.get(&id)?, self.peers.groups().directory());
+        let (status, told) = (group.status(), directory.group(id)?);
+        let votes = self.newest_members(id, &status).is_voter(group.member());
+        if votes && told.term <= status.term {
+            return None;
+        }
+        told.leader().cloned()
     }
 }
--- a/src/peer/group_reach.rs
+++ b/src/peer/group_reach.rs
@@ -1,7 +1,7 @@
 //! Whom a daemon can ask for the leader of a group, and whether anybody can lead it.
 
 use super::{Cluster, Link, PeerClient};
-use crate::consensus::MemberId;
+use crate::consensus::{MemberId, Members};
 use crate::group::{Group, GroupId, GroupStatus, since_start};
 use crate::name::VmName;
 use std::net::SocketAddr;
@@ -41,21 +41,32 @@
     pub fn lacks_majority(&self, id: GroupId, election: Duration) -> bool {
         let Some(group) = self.group(id) else { return false };
         let (status, own) = (group.status(), group.member());
-        match (status.leading, status.members.is_voter(own)) {
-            (true, _) => has_lost_quorum(group, &status, election),
-            (false, true) => status.leader.is_none() && self.hears_too_few(&status, own),
-            (false, false) => self.hears_nobody(),
+        if status.leading {
+            return has_lost_quorum(group, &status, election);
         }
+        let members = self.newest_members(id, &status);
+        match members.is_voter(own) {
+            true => status.leader.is_none() && self.hears_too_few(&members, own),
+            false => self.hears_nobody(),
+        }
+    }
+
+    /// The newest members of a group that this daemon knows of. One that was replaced while it was away
+    /// still holds an older membership, of which it is a voter.
+    pub(super) fn newest_members(&self, id: GroupId, status: &GroupStatus) -> Members {
+        let directory = self.peers().groups().directory();
+        let told = directory.group(id).filter(|told| told.version > status.members_version);
+        told.map_or_else(|| status.members.clone(), |told| told.members.clone())
     }
 
-    fn hears_too_few(&self, status: &GroupStatus, own: MemberId) -> bool {
+    fn hears_too_few(&self, members: &Members, own: MemberId) -> bool {
         let links = self.peers().all();
         let silent: Vec<SocketAddr> =
             links.iter().filter(|link| is_silent(link)).map(|link| link.address()).collect();
-        let voters = status.members.voters.iter();
+        let voters = members.voters.iter();
         // A voter without a link is new here: it may well be heard from.
         let may_live = voters.filter(|voter| voter.id == own || !silent.contains(&voter.address));
-        may_live.count() < status.members.quorum()
+        may_live.count() < members.quorum()
     }
 
     /// Whether none of the daemons that this one knows is connected, for a while already.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -199,7 +199,7 @@
     }
     let Greeting { identity, directory } = client.greet(context, groups.digest()).await?;
     if let Some(directory) = directory {
-        groups.merge(directory);
+        groups.merge(identity.cluster, directory);
     }
     Ok(identity)
 }
--- a/src/peer/peer_links.rs
+++ b/src/peer/peer_links.rs
@@ -24,11 +24,15 @@
         local: PeerIdentity,
         journal: &Arc<Journal>,
     ) -> Self {
+        let groups = Arc::<KnownGroups>::default();
+        if let Some(cluster) = local.cluster {
+            groups.enter(cluster);
+        }
         let context = LinkContext {
             secret: secret.to_owned(),
             local: Arc::new(RwLock::new(local)),
             journal: journal.clone(),
-            groups: Arc::default(),
+            groups,
         };
         let peers = Self { context, links: RwLock::default() };
         addresses.iter().for_each(|address| peers.add(*address));
@@ -66,6 +70,7 @@
     /// Sets the id of this daemon's cluster. New connections are opened with it.
     pub fn set_cluster(&self, cluster: u128) {
         self.context.local.write().expect("identity lock poisoned").cluster = Some(cluster);
+        self.context.groups.enter(cluster);
     }
 
     /// What this daemon knows of the groups, by its own members of them and from its peers.
--- a/src/seeds.rs
+++ b/src/seeds.rs
@@ -24,7 +24,8 @@
 }
 
 async fn follow_file(path: PathBuf, seeds: watch::Sender<Vec<SocketAddr>>) {
-    let mut read = file_state(&path);
+    // The file may have changed since the settings were read at the start.
+    let mut read = None;
     while !seeds.is_closed() {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let state = file_state(&path);
@@ -54,8 +55,9 @@
         old.clone_from(&new);
         differs
     });
-    match changed {
-        true => log::info!("the settings have changed: the seeds are now {new:?}"),
-        false => log::info!("the settings have changed; restart to use what else is new"),
+    if changed {
+        log::info!(
+            "the settings have changed: the seeds are now {new:?}; other changes need a restart"
+        );
     }
 }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 const GROUP: GroupId = GroupId::Control;
+const CLUSTER: u128 = 7;
+const OTHER_CLUSTER: u128 = 8;
 
 fn member(id: u64) -> Member {
     Member {
@@ -114,14 +116,30 @@
     let woken = async |groups: &KnownGroups| {
         tokio::time::timeout(Duration::from_millis(20), groups.wait()).await.is_ok()
     };
-    groups.merge(OLD.directory());
+    groups.merge(Some(CLUSTER), OLD.directory());
     assert!(woken(&groups).await, "new members");
-    groups.merge(OLD.directory());
+    groups.merge(Some(CLUSTER), OLD.directory());
     assert!(!woken(&groups).await, "the same again");
-    groups.merge(NEW.directory());
+    groups.merge(Some(CLUSTER), NEW.directory());
     assert!(woken(&groups).await, "newer members");
-    groups.merge(OLD.directory());
+    groups.merge(Some(CLUSTER), OLD.directory());
     assert!(!woken(&groups).await, "older ones");
     groups.wake();
     assert!(woken(&groups).await, "a peer has connected");
 }
+
+/// Guards against the members of another cluster, which nothing would ever replace.
+#[test]
+fn what_another_cluster_tells_is_not_kept() {
+    let groups = KnownGroups::default();
+    groups.merge(None, NEW.directory());
+    assert_eq!(groups.directory(), Directory::default(), "of a daemon that belongs to none");
+    groups.merge(Some(OTHER_CLUSTER), NEW.directory());
+    groups.enter(CLUSTER);
+    assert_eq!(groups.directory(), Directory::default(), "told before it joined");
+    groups.merge(Some(OTHER_CLUSTER), NEW.directory());
+    groups.merge(Some(CLUSTER), OLD.directory());
+    assert_eq!(groups.directory(), OLD.directory(), "told after it joined");
+    groups.enter(CLUSTER);
+    assert_eq!(groups.directory(), OLD.directory(), "its own again");
+}
