Read the heads that are on their way when a voter stops

What callers saw: once in some thousand questions a connection that was taken and closed without an answer, at the end of a stop. Cause: a graceful shutdown of the HTTP library closes a connection on which nothing has been read yet.

--- a/src/operator/operator_format.rs
+++ b/src/operator/operator_format.rs
@@ -32,6 +32,8 @@
 /// The leader is asked for at least this long, however long the body took: a change that it gets is acknowledged when
 /// it is sent again.
 const MIN_ASK_TIME: Duration = Duration::from_millis(100);
+/// How long the head of a request may take that is on its way when the daemon stops.
+const LAST_HEAD_WAIT: Duration = Duration::from_millis(100);
 /// How long an operator may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -133,8 +135,14 @@
     let served = tokio::select! {
         served = connection.as_mut() => served,
         () = stop(&mut stopping) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // A graceful shutdown would close a connection whose first head is still on its way.
+            match tokio::time::timeout(LAST_HEAD_WAIT, connection.as_mut()).await {
+                Ok(served) => served,
+                Err(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = served {
