Answer at control within 750 ms, 50 ms sooner

What callers saw: once a 503 after 1.003 s, though the daemon had answered 800 ms after the question's head. Cause: the processes of the test waited some 200 ms for a processor (load 12 on 8 cores, a build beside it); that was all the margin. Change: 750 ms. Nothing is lost: the leader says within 700 ms whether a change is accepted.

--- a/src/operator/operator_format.rs
+++ b/src/operator/operator_format.rs
@@ -25,8 +25,9 @@
 const MAX_BODY_BYTES: usize = 16 << 20;
 const BYTES_PER_MIB: usize = 1 << 20;
 /// From the head of a request to the response. Callers ask another daemon after a second without one; the rest
-/// is for the way there and back.
-const ANSWER_LIMIT: Duration = Duration::from_millis(800);
+/// is for the way there and back, and for processes that wait for a processor. The leader needs 700 ms at most to
+/// say whether a change is accepted.
+const ANSWER_LIMIT: Duration = Duration::from_millis(750);
 /// Added to it for each full MiB of the body, for which callers wait longer.
 const BODY_ALLOWANCE: Duration = Duration::from_millis(100);
 /// The leader is asked for at least this long, however long the body took: a change that it gets is acknowledged when
