Ask again soon where there was nobody to ask, name the leader as silent

What callers saw: a question at a daemon that has just started, or a change whose leader stands still, waited 300 ms for its next attempt though nobody was asked by the last one; a change could so reach no other daemon within its limit. Cause: the pause after an attempt was also made where none had been. Change: 50 ms there. The log names the leader among those that don't answer, if it was asked.

--- a/src/daemon/leader_question.rs
+++ b/src/daemon/leader_question.rs
@@ -10,7 +10,7 @@
 
 /// When another daemon is asked beside one that has not answered.
 const ASIDE_AFTER: Duration = Duration::from_millis(300);
-/// Delay before the next daemon is asked after one that could not answer.
+/// Delay before the next daemon is asked after one that could not answer, or when there was nobody to ask.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time for the answer to one attempt beyond the wait in the request, where the caller is patient.
 const RESPONSE_MARGIN: Duration = Duration::from_secs(1);
@@ -84,8 +84,11 @@
                     }
                 }
                 () = tokio::time::sleep_until(next_at.into()) => {
-                    self.ask_next();
-                    next_at = Instant::now() + self.aside_after();
+                    let pause = match self.ask_next() {
+                        true => self.aside_after(),
+                        false => RETRY_DELAY,
+                    };
+                    next_at = Instant::now() + pause;
                 }
                 () = tokio::time::sleep_until(deadline.into()) => return Err(self.no_answer()),
             }
@@ -98,30 +101,37 @@
         self.node.cluster.lacks_majority(GroupId::Control, election)
     }
 
-    /// Asks this daemon if it leads, otherwise another one that is not being asked.
-    fn ask_next(&mut self) {
+    /// Asks this daemon if it leads, otherwise another one that is not being asked. Returns false if there is
+    /// nobody to ask now.
+    fn ask_next(&mut self) -> bool {
         let node = self.node;
         if node.cluster.control().status().leading {
-            if !self.open.contains(&node.settings.vm) {
-                let (vm, request) = (node.settings.vm.clone(), self.request.clone());
-                self.start(
-                    vm.clone(),
-                    async move { (vm, Some(node.handle_request(request).await)) }.boxed(),
-                );
-            }
-            return;
+            return self.ask_here();
         }
         let all = node.cluster.askable(GroupId::Control);
         if self.waits_for_change(&all) {
-            return;
+            return false;
         }
         let not_open = all.into_iter().filter(|askable| !self.open.contains(&askable.vm));
-        let Some(next) = not_open.min_by_key(|askable| self.rank(askable)) else { return };
+        let Some(next) = not_open.min_by_key(|askable| self.rank(askable)) else { return false };
         let (vm, client, request) = (next.vm, next.client, self.request.clone());
         let mut context = context::current();
         context.deadline = self.attempt_deadline();
         let asked = vm.clone();
         self.start(asked, async move { (vm, client.operate(context, request).await.ok()) }.boxed());
+        true
+    }
+
+    fn ask_here(&mut self) -> bool {
+        let node = self.node;
+        let (vm, request) = (node.settings.vm.clone(), self.request.clone());
+        if self.open.contains(&vm) {
+            return false;
+        }
+        let asked = vm.clone();
+        let attempt = async move { (vm, Some(node.handle_request(request).await)) };
+        self.start(asked, attempt.boxed());
+        true
     }
 
     fn start(&mut self, vm: VmName, attempt: Attempt<'a>) {
@@ -199,7 +209,9 @@
         if self.is_pending || self.open.contains(own) {
             return NoAnswer::NotAccepted;
         }
-        match self.open.first() {
+        let leader = self.node.leader();
+        let asked = self.open.iter().find(|vm| leader.as_ref() == Some(vm));
+        match asked.or(self.open.first()) {
             Some(vm) => NoAnswer::LeaderSilent(vm.clone()),
             None => NoAnswer::LeaderUnknown,
         }
