--- a/src/operator/operator_format.rs
+++ b/src/operator/operator_format.rs
@@ -25,13 +25,16 @@
 const MAX_BODY_BYTES: usize = 16 << 20;
 const BYTES_PER_MIB: usize = 1 << 20;
 /// From the head of a request to the response. Callers ask another daemon after a second without one; the rest
-/// is for the way there and back.
-const ANSWER_LIMIT: Duration = Duration::from_millis(800);
+/// is for the way there and back, and for processes that wait for a processor. The leader needs 700 ms at most to
+/// say whether a change is accepted.
+const ANSWER_LIMIT: Duration = Duration::from_millis(750);
 /// Added to it for each full MiB of the body, for which callers wait longer.
 const BODY_ALLOWANCE: Duration = Duration::from_millis(100);
 /// The leader is asked for at least this long, however long the body took: a change that it gets is acknowledged when
 /// it is sent again.
 const MIN_ASK_TIME: Duration = Duration::from_millis(100);
+/// How long the head of a request may take that is on its way when the daemon stops.
+const LAST_HEAD_WAIT: Duration = Duration::from_millis(100);
 /// How long an operator may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -133,8 +136,14 @@
     let served = tokio::select! {
         served = connection.as_mut() => served,
         () = stop(&mut stopping) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // A graceful shutdown would close a connection whose first head is still on its way.
+            match tokio::time::timeout(LAST_HEAD_WAIT, connection.as_mut()).await {
+                Ok(served) => served,
+                Err(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = served {
