--- a/tests/group_play/network.rs
+++ b/tests/group_play/network.rs
@@ -100,7 +100,7 @@
             self.machines.iter().map(|machine| own(machine.synced).unwrap_or(0).max(machine.news));
         let known: Vec<u64> = known.collect();
         for from in 0..self.machines.len() {
-            let links = self.machines[from].links.iter().map(|(to, _)| *to);
+            let links = self.machines[from].links.keys().copied();
             let linked: Vec<usize> = links.filter(|to| self.is_in_touch(from, *to)).collect();
             for to in linked {
                 let newest = known[from].max(known[to]);
