Say in the log when a daemon is linked, campaigns and begins to serve reads

Which step of a recovery is slow could not be read from the logs: they named the start and the election, and nothing between or after. A line now for each link that is opened, for a voter that begins to ask for pre-votes (once, not each round), and for a leader that begins to serve reads.

--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -57,6 +57,10 @@
     snapshot_entries: u64,
     /// The term that this member leads and when it began to; `None` if it is not the leader.
     leadership: Option<(u64, Duration)>,
+    /// The term that this member began to serve reads in last, as leader.
+    served_term: Option<u64>,
+    /// Whether this member is asking for pre-votes.
+    campaigning: bool,
     /// The thread that stores the latest snapshot.
     snapshot_job: Option<JoinHandle<Result<Snapshot, StorageError>>>,
     /// No snapshot is taken before this time, set after a failed attempt to store one.
@@ -91,6 +95,8 @@
             applied,
             snapshot_entries: options.snapshot_entries,
             leadership: None,
+            served_term: None,
+            campaigning: false,
             snapshot_job: None,
             snapshot_after: None,
         }
@@ -310,6 +316,7 @@
     fn publish(&mut self) {
         self.publish_lease();
         self.record_leadership(since_start());
+        self.log_progress();
         let mut status = GroupStatus {
             term: self.raft.term(),
             leader: self.raft.leader(),
@@ -356,6 +363,20 @@
         }
     }
 
+    /// Logs the steps towards a leader that serves reads.
+    fn log_progress(&mut self) {
+        let (id, term) = (self.id, self.raft.term());
+        let campaigning = matches!(self.raft.role(), Role::PreCandidate { .. });
+        if campaigning && !self.campaigning {
+            log::info!("{id}: no leader is heard of; asks for pre-votes after term {term}");
+        }
+        self.campaigning = campaigning;
+        if self.served_term != Some(term) && self.raft.may_serve_reads(since_start()) {
+            self.served_term = Some(term);
+            log::info!("serves reads of {id} in term {term} from entry {}", self.applied);
+        }
+    }
+
     fn fail_pending(&mut self) {
         for (_, pending) in std::mem::take(&mut self.pending) {
             let _ = pending.reply.send(Err(SubmitError::LeadershipLost));
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -124,6 +124,7 @@
         if let Some(dialed) = dial(link.address, &secret, &identity, &journal).await {
             let Dialed { client, identity, version } = dialed;
             *link.version.write().expect("link lock poisoned") = Some(version);
+            log::info!("linked to {} at {}", identity.vm, link.address);
             ping_until_failure(&link, client, identity).await;
             link.set_active(None);
             journal.record(Event::PeerSilent { peer: link.address.to_string() });
