Hand a starting router its first configuration in chunks of 128 KiB

What callers saw: after a loss of power of the whole site (60 routers, 4,249 routes, voters that run 15 ms of each 100) the last router serves up to 3.3 s after the last start. Cause: the table reaches a router in chunks of 32 KiB, one round trip each, some 100 ms on such a leader; the chunk is that small for the sake of lease renewals, which a router without a lease doesn't send. Change: a router that has no configuration yet gets up to 128 KiB in a response. Renewals under a lease are as before.

--- a/src/daemon/renewals.rs
+++ b/src/daemon/renewals.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use super::wait::wait_for_news;
 use crate::control::Config;
-use crate::distribution::Chunk;
+use crate::distribution::{CHUNK_BYTES, Chunk, FIRST_CHUNK_BYTES};
 use crate::peer::{RenewRequest, RenewResponse};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -41,9 +41,10 @@
     /// The current configuration, and the part of it that the router gets now. A router that then has
     /// all of it gets a lease, which is recorded; false if this daemon may not grant leases.
     fn next_part(&self, request: &RenewRequest) -> (bool, Arc<Config>, Option<Chunk>) {
+        let limit = if request.revision == 0 { FIRST_CHUNK_BYTES } else { CHUNK_BYTES };
         loop {
             let config = self.publish_current();
-            let chunk = self.publisher.read_config(&request.config);
+            let chunk = self.publisher.read_config_up_to(&request.config, limit);
             if chunk.as_ref().is_some_and(|chunk| !chunk.is_last()) {
                 return (self.record_revision(&request.router, request.revision), config, chunk);
             }
--- a/src/distribution/change_log.rs
+++ b/src/distribution/change_log.rs
@@ -6,6 +6,8 @@
 /// The most bytes in one chunk. On a link of 10 Mbit/s it takes 26 ms, which is what a lease renewal
 /// may wait behind.
 pub const CHUNK_BYTES: usize = 32 << 10;
+/// The most bytes in one chunk for a router without a lease, which no renewal waits behind.
+pub const FIRST_CHUNK_BYTES: usize = 128 << 10;
 /// A snapshot is made anew once the steps after it have this many bytes plus half of its own.
 const MIN_STEP_BYTES: usize = 16 << 10;
 /// The most bytes of steps that are kept, beyond the size of the snapshot.
@@ -102,6 +104,11 @@
 
     /// The next chunk for a router, or `None` if it has the present state.
     pub fn read(&self, position: &Position) -> Option<Chunk> {
+        self.read_up_to(position, CHUNK_BYTES)
+    }
+
+    /// Like [`Self::read`], with at most `limit` bytes in the chunk.
+    pub fn read_up_to(&self, position: &Position, limit: usize) -> Option<Chunk> {
         if position.base == self.target() {
             return None;
         }
@@ -118,7 +125,7 @@
         };
         let total = byte_count(records.iter().copied()) as u64;
         let offset = if offset < total { offset } else { 0 };
-        let bytes = copy_range(&records, offset as usize, CHUNK_BYTES);
+        let bytes = copy_range(&records, offset as usize, limit);
         let remaining = total - offset - bytes.len() as u64;
         Some(Chunk { transfer: records[0].number, offset, bytes, remaining })
     }
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -16,7 +16,7 @@
 mod router_state;
 
 pub use change::Change;
-pub use change_log::{CHUNK_BYTES, ChangeLog, Chunk, Position};
+pub use change_log::{CHUNK_BYTES, ChangeLog, Chunk, FIRST_CHUNK_BYTES, Position};
 pub use config_entry::{ConfigEntry, ConfigHeader, ConfigKey, TableHeader};
 pub use config_set::{ConfigSet, config_entries, config_from_entries};
 pub use content_digest::ContentDigest;
--- a/src/distribution/published.rs
+++ b/src/distribution/published.rs
@@ -49,6 +49,11 @@
     pub fn read(&self, position: &Position) -> Option<Chunk> {
         self.log.read(position)
     }
+
+    /// Like [`Self::read`], with at most `limit` bytes in the chunk.
+    pub fn read_up_to(&self, position: &Position, limit: usize) -> Option<Chunk> {
+        self.log.read_up_to(position, limit)
+    }
 }
 
 fn encode<K, E>(change: &Change<K, E>) -> Bytes
--- a/src/distribution/publisher.rs
+++ b/src/distribution/publisher.rs
@@ -1,6 +1,6 @@
 use super::{
-    Chunk, ConfigEntry, ConfigKey, ConfigSet, ContentDigest, EntrySet, Position, Published,
-    config_entries, config_from_entries,
+    CHUNK_BYTES, Chunk, ConfigEntry, ConfigKey, ConfigSet, ContentDigest, EntrySet, Position,
+    Published, config_entries, config_from_entries,
 };
 use crate::control::Config;
 use crate::name::VmName;
@@ -55,7 +55,13 @@
 
     /// The next chunk of the configuration, or `None` if the router has it.
     pub fn read_config(&self, position: &Position) -> Option<Chunk> {
-        self.config.lock().expect("published configuration lock").entries.read(position)
+        self.read_config_up_to(position, CHUNK_BYTES)
+    }
+
+    /// Like [`Self::read_config`], with at most `limit` bytes in the chunk.
+    pub fn read_config_up_to(&self, position: &Position, limit: usize) -> Option<Chunk> {
+        let config = self.config.lock().expect("published configuration lock");
+        config.entries.read_up_to(position, limit)
     }
 
     /// The next chunk of the VM list, or `None` if the router has it.
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -9,7 +9,8 @@
     RouteOrganisation, RouteTable,
 };
 use samphireshift::distribution::{
-    CHUNK_BYTES, Chunk, ContentDigest, Position, Publisher, RouterState, config_from_entries,
+    CHUNK_BYTES, Chunk, ContentDigest, FIRST_CHUNK_BYTES, Position, Publisher, RouterState,
+    config_from_entries,
 };
 use samphireshift::name::{DataCentre, OrganisationName, PoolName, VersionName, VmName};
 use samphireshift::vms::{Vm, VmState};
@@ -102,6 +103,24 @@
     held(&mut router, &changed);
 }
 
+/// Guards against a router that starts and needs a round trip for each 32 KiB of a large table.
+#[test]
+fn a_router_without_a_lease_gets_a_large_table_in_few_chunks() {
+    let (publisher, mut router) = (Publisher::default(), RouterState::default());
+    let config = large_config(1, 4_249, 1_000);
+    publisher.publish_config(&config);
+    let mut chunks = 0;
+    while let Some(chunk) =
+        publisher.read_config_up_to(&router.config_position(), FIRST_CHUNK_BYTES)
+    {
+        assert!(chunk.bytes.len() <= FIRST_CHUNK_BYTES);
+        chunks += 1;
+        router.receive_config(Some(&chunk)).unwrap();
+    }
+    assert!(chunks <= 3, "{chunks} chunks");
+    held(&mut router, &config);
+}
+
 #[test]
 fn the_operators_document_is_not_sent() {
     const DOCUMENT_BYTES: usize = 400 * 2_000;
