--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -130,6 +130,7 @@
         let identity = local.read().expect("identity lock poisoned").clone();
         if let Some(dialed) = dial(link.address, &secret, &identity, &journal).await {
             *link.version.write().expect("link lock poisoned") = Some(dialed.version);
+            log::info!("linked to {} at {}", dialed.identity.vm, link.address);
             ping_until_failure(&link, dialed, &groups).await;
             link.set_active(None);
             journal.record(Event::PeerSilent { peer: link.address.to_string() });
