Bound what callers and operators send, and serve what the kernel has taken

Cause: (1) a body sent to a voter was held for as long as its sender liked, up to 16 MiB each; (2) framing, such as a chunk size of zeros, was not counted by anything; (3) the bodies of all calls at a router had no common bound; (4) connections that the kernel had taken were reset when a listening port was closed, and a router that had closed its port refused calls on connections still open.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -1,16 +1,15 @@
 //! Turns an incoming request into a [`Call`]: route lookup, API key check and reading of the body.
 
 use super::accepted_call::{Call, ended_before};
+use super::call_body::CallBody;
 use super::hop::Hop;
 use super::server_selection::{pick_pool, stable_hash};
 use super::{Access, Gateway, GatewayError, RequestHead, RequestedModel, RouteIndex};
 use crate::control::{CallerLimits, KeyHash, Suspect};
+use crate::inbound::InboundBody;
 use crate::name::{ModelName, OrganisationName, PoolName};
-use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -28,18 +27,19 @@
 
 /// A request's body, before or after it was read.
 enum RequestBody {
-    Unread(Incoming),
-    Buffered(Bytes),
+    Unread(InboundBody),
+    Buffered(CallBody),
 }
 
 /// Reads a request, finds its route and pool, and checks its API key.
 pub async fn accept(
     gateway: &Arc<Gateway>,
-    request: Request<Incoming>,
+    request: Request<InboundBody>,
     started: Instant,
     hop: Option<Hop>,
 ) -> Result<Call, GatewayError> {
-    if gateway.closed.load(Ordering::Relaxed) {
+    // Another router may still find one that goes on; a caller has come before the port was closed.
+    if hop.is_some() && gateway.closed.load(Ordering::Relaxed) {
         return Err(GatewayError::Stopping);
     }
     let (parts, body) = request.into_parts();
@@ -74,9 +74,10 @@
     }
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let deadline = started + hop.as_ref().map_or(timeout, |hop| hop.left.min(timeout));
-    let body = read_body(body, index.limits(), deadline.min(started + RECEIVE_TIMEOUT)).await?;
+    let body_deadline = deadline.min(started + RECEIVE_TIMEOUT);
+    let body = read_body(gateway, body, index.limits(), body_deadline).await?;
     let caller = organisation.as_ref().map(OrganisationName::as_str);
-    let request = gateway.hasher.id(&parts.method, &parts.uri, caller, &body);
+    let request = gateway.hasher.id(&parts.method, &parts.uri, caller, &body.bytes);
     suspects.push(Suspect::Request(request));
     if let Some(request) = gateway.parts.blocked(&suspects) {
         return Err(GatewayError::Blocked(request));
@@ -120,13 +121,14 @@
 async fn wait_until_started(
     gateway: &Gateway,
     parts: &Parts,
-    body: Incoming,
+    body: InboundBody,
     started: Instant,
-) -> Result<Bytes, GatewayError> {
+) -> Result<CallBody, GatewayError> {
     let head = gateway.format.parse_request(&parts.headers).map_err(GatewayError::Malformed)?;
     let timeout = head.timeout.unwrap_or(RECEIVE_TIMEOUT);
     let deadline = started + timeout.mul_f64(STARTUP_WAIT_FRACTION).min(MAX_STARTUP_WAIT);
-    let body = read_body(RequestBody::Unread(body), &CallerLimits::default(), deadline).await?;
+    let limits = CallerLimits::default();
+    let body = read_body(gateway, RequestBody::Unread(body), &limits, deadline).await?;
     match tokio::time::timeout_at(deadline.into(), gateway.wait_started()).await {
         Ok(()) => Ok(body),
         Err(_) => Err(GatewayError::Starting),
@@ -151,23 +153,17 @@
 }
 
 async fn read_body(
+    gateway: &Gateway,
     body: RequestBody,
     limits: &CallerLimits,
     deadline: Instant,
-) -> Result<Bytes, GatewayError> {
+) -> Result<CallBody, GatewayError> {
     let limit = limits.body_bytes;
-    let body = match body {
-        RequestBody::Buffered(body) if body.len() > limit => {
-            return Err(GatewayError::TooLarge(limit));
+    match body {
+        RequestBody::Buffered(body) if body.bytes.len() > limit => {
+            Err(GatewayError::TooLarge(limit))
         }
-        RequestBody::Buffered(body) => return Ok(body),
-        RequestBody::Unread(body) => body,
-    };
-    let read = Limited::new(body, limit).collect();
-    match tokio::time::timeout_at(deadline.into(), read).await {
-        Err(_) => Err(GatewayError::TooSlow),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(GatewayError::TooLarge(limit)),
-        Ok(Err(error)) => Err(GatewayError::Malformed(error.to_string())),
+        RequestBody::Buffered(body) => Ok(body),
+        RequestBody::Unread(body) => CallBody::read(body, limit, &gateway.bodies, deadline).await,
     }
 }
--- a/src/gateway/accepted_call.rs
+++ b/src/gateway/accepted_call.rs
@@ -1,6 +1,7 @@
 //! A call that was accepted, with what its attempts need and what they have come to.
 
 use super::attempt_trail::AttemptTrail;
+use super::call_body::CallBody;
 use super::hop::Hop;
 use super::hop_account::HopAccount;
 use super::route_permit::RoutePermit;
@@ -8,7 +9,6 @@
 use super::{Gateway, RequestHead, RouteIndex};
 use crate::control::{ConfiguredRoute, KeyHash, Suspect};
 use crate::name::{ModelName, OrganisationName, PoolName, VersionName, VmName};
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -55,7 +55,7 @@
     /// The caller's headers as received.
     pub headers: HeaderMap,
     /// The whole request body.
-    pub body: Bytes,
+    pub body: CallBody,
     /// What the router says that has passed the call on; `None` for a caller's own call.
     pub hop: Option<Hop>,
     /// When the request arrived.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,9 +10,9 @@
 use super::stream_relay::{StreamRelay, relay_stream};
 use super::{Gateway, GatewayError};
 use crate::backend::BodyError;
+use crate::inbound::InboundBody;
 use crate::policy::accepts_answer;
 use http::{Request, Response, header};
-use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -30,7 +30,11 @@
 }
 
 /// Serves one request within its deadline.
-pub async fn serve(gateway: &Arc<Gateway>, request: Request<Incoming>, hop: Option<Hop>) -> Served {
+pub async fn serve(
+    gateway: &Arc<Gateway>,
+    request: Request<InboundBody>,
+    hop: Option<Hop>,
+) -> Served {
     let started = Instant::now();
     let call = match accept(gateway, request, started, hop).await {
         Ok(call) => Arc::new(call),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -348,7 +348,7 @@
             last_event: last_event.or(self.head.last_event),
         };
         self.gateway.format.write_request(&mut headers, &head);
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body.bytes.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = headers;
--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -81,6 +81,9 @@
     /// The body exceeds the size limit, in bytes.
     #[error("the request body exceeds the limit of {0} bytes")]
     TooLarge(usize),
+    /// The bodies of other calls take all the room.
+    #[error("the bodies of other calls take all the room; retry at another router")]
+    NoRoom,
     /// The request was not received in time.
     #[error("the request was not received in time; check the connection and retry")]
     TooSlow,
@@ -103,6 +106,7 @@
             | GatewayError::ServersBackingOff { .. }
             | GatewayError::ServersLimited { .. }
             | GatewayError::ServersFull
+            | GatewayError::NoRoom
             | GatewayError::NoPath(_)
             | GatewayError::Blocked(_)
             | GatewayError::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
@@ -121,7 +125,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             GatewayError::NoLease | GatewayError::Stopping => Some(Duration::from_millis(100)),
-            GatewayError::NoServer(_) | GatewayError::ServersFull => {
+            GatewayError::NoServer(_) | GatewayError::ServersFull | GatewayError::NoRoom => {
                 Some(Duration::from_millis(400))
             }
             GatewayError::NoPath(_) => Some(PATH_RETRY_DELAY),
@@ -153,6 +157,7 @@
             GatewayError::InvalidKey => "no_key",
             GatewayError::Malformed(_) => "malformed",
             GatewayError::TooLarge(_) => "too_large",
+            GatewayError::NoRoom => "no_room",
             GatewayError::TooSlow => "too_slow",
             GatewayError::ResponseLost(_) => "broken",
             GatewayError::TimedOut => "timed_out",
--- a/src/gateway/hop_server.rs
+++ b/src/gateway/hop_server.rs
@@ -1,7 +1,7 @@
 //! Takes calls that other routers pass on, from daemons that prove that they know the shared secret.
 
 use super::Gateway;
-use super::http_server::{CallerConnections, Origin, serve_connection};
+use super::http_server::{CallerConnections, OpenConnection, Origin, serve_connection};
 use crate::peer;
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,5 +52,6 @@
         log::info!("router {} sent bytes that are no part of the handshake", router.vm);
         return;
     }
-    serve_connection(gateway, parts.io, connections, closing, Origin::Router).await;
+    let open = OpenConnection::new(&connections);
+    serve_connection(gateway, parts.io, open, closing, Origin::Router).await;
 }
--- a/src/gateway/http_server.rs
+++ b/src/gateway/http_server.rs
@@ -6,13 +6,14 @@
 use super::hop::{Hop, REFUSED};
 use super::hop_account::HopAccount;
 use super::response::{ResponseBody, error_response};
+use crate::connection_end::{close_listener, serve_until};
+use crate::inbound::{InboundBody, InboundStream, Progress};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -48,66 +49,84 @@
     }
 }
 
-/// Accepts connections until `closing` is set; open ones then finish their current response.
+/// One of the open connections, which counts until it is dropped.
+#[derive(Debug)]
+pub struct OpenConnection(Arc<CallerConnections>);
+
+impl OpenConnection {
+    /// Counts one more connection.
+    pub fn new(connections: &Arc<CallerConnections>) -> Self {
+        connections.count.fetch_add(1, Ordering::Relaxed);
+        Self(connections.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Accepts connections until `closing` is set; open ones then finish their current response. Returns once all
+/// that the kernel has taken are counted.
 pub async fn serve_connections(
     gateway: Arc<Gateway>,
     listener: TcpListener,
     connections: Arc<CallerConnections>,
     closing: watch::Receiver<bool>,
 ) {
+    let serve = |stream| {
+        let (gateway, open) = (gateway.clone(), OpenConnection::new(&connections));
+        tokio::spawn(serve_connection(gateway, stream, open, closing.clone(), Origin::Caller));
+    };
     loop {
         let mut close_signal = closing.clone();
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_close(&mut close_signal) => return,
+            () = wait_for_close(&mut close_signal) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let (gateway, connections) = (gateway.clone(), connections.clone());
-                let served =
-                    serve_connection(gateway, stream, connections, closing.clone(), Origin::Caller);
-                tokio::spawn(served);
-            }
+            Ok((stream, _)) => serve(stream),
             Err(error) => {
                 log::warn!("cannot accept a caller's connection: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    close_listener(listener).into_iter().for_each(serve);
 }
 
 /// Serves a connection until it ends, or until its current response once `closing` is set.
 pub async fn serve_connection(
     gateway: Arc<Gateway>,
     stream: TcpStream,
-    connections: Arc<CallerConnections>,
+    open: OpenConnection,
     mut closing: watch::Receiver<bool>,
     origin: Origin,
 ) {
-    connections.count.fetch_add(1, Ordering::Relaxed);
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on a caller's connection: {error}");
     }
     let limits = gateway.route_index().map(|index| *index.limits()).unwrap_or_default();
-    let service = service_fn(|request| handle_request(gateway.clone(), request, origin));
+    let progress = Progress::default();
+    let service = service_fn(|request: Request<Incoming>| {
+        let request = request.map(|body| InboundBody::new(body, progress.clone()));
+        handle_request(gateway.clone(), request, origin)
+    });
+    let buffer_bytes = (limits.head_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES);
+    let stream = InboundStream::new(stream, buffer_bytes, progress.clone());
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         // hyper counts the idle time before a request towards the time to read its head.
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
-        .max_buf_size((limits.head_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = wait_for_close(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
+        .max_buf_size(buffer_bytes);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let ended = serve_until(connection, wait_for_close(&mut closing)).await;
     if let Err(error) = ended {
         log::debug!("a caller's connection failed: {error}");
     }
-    connections.count.fetch_sub(1, Ordering::Relaxed);
+    drop(open);
 }
 
 /// Waits until `closing` is set or its sender is gone.
@@ -134,7 +153,7 @@
 
 async fn handle_request(
     gateway: Arc<Gateway>,
-    request: Request<Incoming>,
+    request: Request<InboundBody>,
     origin: Origin,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let id = gateway.format.log_id(request.headers()).to_owned();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod brittle_servers;
 mod call;
 mod event_splitter;
+mod call_body;
 mod exchange;
 mod gateway_error;
 mod header_format;
--- a/src/gateway/pass_on.rs
+++ b/src/gateway/pass_on.rs
@@ -180,7 +180,7 @@
             allowance: states_allowance.then(|| allowance.clone()),
         };
         hop.write(&mut headers);
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body.bytes.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = headers;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// Fraction of the shutdown time during which new calls are still accepted, so that the load
 /// balancer can stop sending them.
@@ -61,10 +62,11 @@
     let connections = Arc::new(CallerConnections::default());
     let routers = serve_routers(gateway.clone(), routers, connections.clone(), closing.clone());
     tokio::spawn(routers);
-    tokio::spawn(serve_connections(gateway.clone(), listener, connections.clone(), closing));
+    let callers =
+        tokio::spawn(serve_connections(gateway.clone(), listener, connections.clone(), closing));
     tokio::spawn(run_log_loop(gateway.journal.clone()));
     signals.wait_for_stop().await;
-    shut_down(&gateway, &connections, &close).await;
+    shut_down(&gateway, &connections, &close, callers).await;
     Ok(())
 }
 
@@ -87,6 +89,7 @@
     gateway: &Gateway,
     connections: &CallerConnections,
     close: &watch::Sender<bool>,
+    callers: JoinHandle<()>,
 ) {
     let started = Instant::now();
     let limit = gateway.settings.fleet_limits.stop_timeout;
@@ -95,6 +98,9 @@
     tokio::time::sleep(limit.mul_f64(DRAIN_ACCEPT_FRACTION)).await;
     gateway.closed.store(true, Ordering::Relaxed);
     close.send_replace(true);
+    if let Err(error) = callers.await {
+        log::error!("connections that have just come may be reset: {error}");
+    }
     while connections.count() > 0 && started.elapsed() < limit.mul_f64(DRAIN_END_FRACTION) {
         if started.elapsed() >= limit.mul_f64(DRAIN_ANSWER_FRACTION) {
             gateway.ending.send_replace(true);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,6 +28,8 @@
 
 /// The most bytes of responses that are held at the same time, for routers with 160 MB of memory.
 const MAX_BUFFERED_BYTES: usize = 32 << 20;
+/// Bytes of the bodies of calls that are held at the same time.
+const MAX_BODY_BYTES: usize = 48 << 20;
 
 /// Records of calls that were passed on to other routers, which nobody reads: they count there.
 #[derive(Debug, Default)]
@@ -72,6 +74,8 @@
     pub hasher: RequestHasher,
     /// Limits the bytes of responses that are held at the same time.
     pub buffers: Arc<ByteBudget>,
+    /// The budget that the bodies of calls count towards.
+    pub bodies: Arc<ByteBudget>,
     /// How soon servers count as silent.
     pub silence: Mutex<SilenceTracker>,
     /// Whether new calls are rejected.
@@ -107,6 +111,7 @@
             parts: Arc::default(),
             hasher: RequestHasher::new(&settings.cluster_secret),
             buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
+            bodies: ByteBudget::new(MAX_BODY_BYTES),
             silence: Mutex::default(),
             closed: AtomicBool::new(false),
             ending: watch::Sender::new(false),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backend;
 pub mod caller;
 pub mod cli;
+pub mod connection_end;
 pub mod consensus;
 pub mod control;
 pub mod daemon;
@@ -18,6 +19,7 @@
 pub mod exit_codes;
 pub mod gateway;
 pub mod group;
+pub mod inbound;
 pub mod ledger;
 pub mod name;
 pub mod non_blocking_stdout;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -3,6 +3,7 @@
 mod explain;
 mod http_server;
 mod operator_format;
+mod order_body;
 mod timeline;
 
 pub use explain::{ExplainTarget, Explanation, explain};
--- a/src/operator/operator_format.rs
+++ b/src/operator/operator_format.rs
@@ -1,12 +1,16 @@
 //! Operator API of a voter, with paths and JSON documents that an [`OperatorFormat`] defines.
 
+use super::order_body::{OrderBodyError, read_order};
+use crate::backend::ByteBudget;
+use crate::connection_end::{close_listener, serve_until};
 use crate::daemon::{NoAnswer, Node, Patience};
+use crate::inbound::{InboundBody, InboundStream, Progress};
 use crate::name::PoolName;
 use crate::peer::{OperatorRequest, OperatorResponse};
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,15 +18,18 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::TcpListener;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Maximum size of the body of a request.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// The read buffer of a connection, and so the largest head of a request.
+const BUFFER_BYTES: usize = 64 << 10;
+/// Bytes of requests that are held at the same time.
+const MAX_HELD_BYTES: usize = 32 << 20;
+/// When to send a request again for which there was no room.
+const NO_ROOM_RETRY_SECONDS: &str = "1";
 const BYTES_PER_MIB: usize = 1 << 20;
 /// From the head of a request to the response. Callers ask another daemon after a second without one; the rest
 /// is for the way there and back, and for processes that wait for a processor. The leader needs 700 ms at most to
@@ -33,8 +40,6 @@
 /// The leader is asked for at least this long, however long the body took: a change that it gets is acknowledged when
 /// it is sent again.
 const MIN_ASK_TIME: Duration = Duration::from_millis(100);
-/// How long the head of a request may take that is on its way when the daemon stops.
-const LAST_HEAD_WAIT: Duration = Duration::from_millis(100);
 /// How long an operator may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -88,15 +93,13 @@
             return;
         }
     };
-    let mut connections = JoinSet::new();
+    let (mut connections, held) = (JoinSet::new(), ByteBudget::new(MAX_HELD_BYTES));
+    let server = Server { node, format, held };
     loop {
         tokio::select! {
-            // Connections that the kernel has taken come first: to drop them would be silence.
-            biased;
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let (node, format) = (node.clone(), format.clone());
-                    connections.spawn(serve_connection(node, format, stream, stopping.clone()));
+                    connections.spawn(serve_connection(server.clone(), stream, stopping.clone()));
                 }
                 Err(error) => {
                     log::warn!("cannot accept an operator connection: {error}");
@@ -107,7 +110,9 @@
             () = stop(&mut stopping) => break,
         }
     }
-    drop(listener);
+    for stream in close_listener(listener) {
+        connections.spawn(serve_connection(server.clone(), stream, stopping.clone()));
+    }
     while connections.join_next().await.is_some() {}
 }
 
@@ -117,58 +122,51 @@
     let _ = stopping.wait_for(|stopping| *stopping).await;
 }
 
-async fn serve_connection(
+/// What each connection needs.
+#[derive(Clone)]
+struct Server {
     node: Arc<Node>,
     format: Arc<dyn OperatorFormat>,
-    stream: TcpStream,
-    mut stopping: watch::Receiver<bool>,
-) {
-    let stopped = stopping.clone();
-    let service = service_fn(|request| {
-        let (node, format, stopped) = (node.clone(), format.clone(), stopped.clone());
-        async move {
-            Ok::<_, Infallible>(handle_request(&node, format.as_ref(), request, stopped).await)
-        }
+    /// The budget that the bytes held of requests count towards.
+    held: Arc<ByteBudget>,
+}
+
+async fn serve_connection(server: Server, stream: TcpStream, mut stopping: watch::Receiver<bool>) {
+    let (stopped, progress) = (stopping.clone(), Progress::default());
+    let service = service_fn(|request: Request<Incoming>| {
+        let (server, stopped, progress) = (server.clone(), stopped.clone(), progress.clone());
+        let request = request.map(|body| InboundBody::new(body, progress));
+        async move { Ok::<_, Infallible>(handle_request(&server, request, stopped).await) }
     });
+    let stream = InboundStream::new(stream, BUFFER_BYTES, progress.clone());
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let served = tokio::select! {
-        served = connection.as_mut() => served,
-        () = stop(&mut stopping) => {
-            // A graceful shutdown would close a connection whose first head is still on its way.
-            match tokio::time::timeout(LAST_HEAD_WAIT, connection.as_mut()).await {
-                Ok(served) => served,
-                Err(_) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            }
-        }
-    };
+    builder.max_buf_size(BUFFER_BYTES).timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let served = serve_until(connection, stop(&mut stopping)).await;
     if let Err(error) = served {
         log::debug!("operator connection failed: {error}");
     }
 }
 
 async fn handle_request(
-    node: &Node,
-    format: &dyn OperatorFormat,
-    request: Request<Incoming>,
+    server: &Server,
+    request: Request<InboundBody>,
     mut stopping: watch::Receiver<bool>,
 ) -> Response<Full<Bytes>> {
+    let (node, format) = (&server.node, server.format.as_ref());
     let started = Instant::now();
     let (parts, body) = request.into_parts();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut limit = ANSWER_LIMIT;
-    let parsed = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+    let mut share = server.held.share();
+    let parsed = match read_order(body, &mut share).await {
         Ok(body) => {
-            let body = body.to_bytes();
             limit += BODY_ALLOWANCE * (body.len() / BYTES_PER_MIB) as u32;
             format.parse_request(&parts.method, path, &body)
         }
-        Err(error) => Err(unreadable_body(&error.to_string())),
+        Err(error) => return unread(format, &parts, &error),
     };
+    drop(share);
     let request = match parsed {
         Ok(request) => request,
         Err(error) => {
@@ -214,11 +212,24 @@
     response
 }
 
-fn unreadable_body(cause: &str) -> OperatorError {
-    OperatorError {
-        status: StatusCode::BAD_REQUEST,
-        message: format!("cannot read the request body: {cause}"),
+/// The response to a request whose body was not read to its end. The connection ends with it.
+fn unread(
+    format: &dyn OperatorFormat,
+    request: &Parts,
+    error: &OrderBodyError,
+) -> Response<Full<Bytes>> {
+    let (method, path, status) = (&request.method, request.uri.path(), error.status());
+    log::info!("{method} {path} refused: {status}: {error}");
+    metrics::counter!("samphireshift_control_unread_total", "status" => status.as_str().to_owned())
+        .increment(1);
+    let body = format.write_error(&OperatorError { status, message: error.to_string() });
+    let mut response = json_response(status, body);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let wait = HeaderValue::from_static(NO_ROOM_RETRY_SECONDS);
+        response.headers_mut().insert(header::RETRY_AFTER, wait);
     }
+    response
 }
 
 fn json_response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
