--- a/tests/env/setup.rs
+++ b/tests/env/setup.rs
@@ -25,7 +25,7 @@
 pub fn loopback_address(number: u32) -> IpAddr {
     let id = std::process::id();
     let [_, _, high, low] = id.to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, 10 + (number % 200) as u8, high, low.max(1)))
+    IpAddr::V4(Ipv4Addr::new(127, 10 + (number % 200) as u8, high, low))
 }
 
 /// TCP ports that stay reserved until this is dropped. Its sockets are bound but do not listen, so
