Judge a path by all of its servers, and an answer by its own

A stream that lost two servers in a mass of ends passed for their cause. A call that lost its answer was sent again at once, to the next server that was about to end. A silent host was found, but not that most were. Servers that reset before a call was written were never put aside, and repeats went to servers whose pause had just ended. Change: all servers are tried, in waves, before a path is lost or narrow (path_monitor, path_sweep); an answer ends for its own server only (answer_watch); refused connections cost no attempt; ends of a mass are no call's doing (part_watch); 10, 40, 160 ms before a repeat (repeat_delay); servers on trial get first tries only (standing). docs/design/without-path.md has the table and the ways weighed.

--- a/src/backend/connection_pool.rs
+++ b/src/backend/connection_pool.rs
@@ -1,4 +1,5 @@
 use super::{BackendBody, ExchangeState, PermitCheckedStream, WritePermit};
+use crate::policy::ConnectFailure;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -98,15 +99,27 @@
         if !fresh && let Some(connection) = self.acquire_idle(address) {
             return Ok(connection);
         }
-        let connecting = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(self.connect_timeout, connecting).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(cause)) => return Err(SendError::NotSent(cause.to_string())),
-            Err(_) => return Err(SendError::NotSent("connection attempt timed out".to_owned())),
-        };
+        let opened = self.open(address).await;
+        let stream = opened.map_err(|failure| SendError::NotSent(failure.to_string()))?;
         self.adopt(address, stream).await
     }
 
+    /// Opens a connection that belongs to no pool; [`Self::adopt`] takes it into this one.
+    ///
+    /// # Errors
+    /// If the server refuses it, or does not answer within the pool's time limit.
+    pub async fn open(&self, address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
+        let connecting = TcpStream::connect(address);
+        match tokio::time::timeout(self.connect_timeout, connecting).await {
+            Ok(Ok(stream)) => Ok(stream),
+            Ok(Err(error)) => {
+                log::debug!("no connection to {address}: {error}");
+                Err(ConnectFailure::from(&error))
+            }
+            Err(_) => Err(ConnectFailure::Silent),
+        }
+    }
+
     /// Takes an idle connection, if there is one.
     pub fn acquire_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let thread = std::thread::current().id();
--- a/src/gateway/accepted_call.rs
+++ b/src/gateway/accepted_call.rs
@@ -9,10 +9,11 @@
 use super::{Gateway, RequestHead, RouteIndex};
 use crate::control::{ConfiguredRoute, KeyHash, Suspect};
 use crate::name::{ModelName, OrganisationName, PoolName, VersionName, VmName};
+use crate::policy::repeat_delay;
 use http::{HeaderMap, Method, Uri};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Servers that may end under one call before it is not sent to another one.
 pub const MAX_ENDED_SERVERS: u32 = 2;
@@ -75,10 +76,16 @@
     pub most_sends: Option<u32>,
     /// Why the last attempt failed; `None` while no server can have run the call.
     pub last_failure: Option<String>,
+    /// Answers that were lost.
+    pub losses: u32,
+    /// Whether an answer was lost since the last attempt began.
+    pub just_lost: bool,
     /// Whether the retry budget has already been charged for the next attempt.
     pub budget_taken: bool,
-    /// Servers and routers that could not be connected to.
-    pub unreached: u32,
+    /// Servers that could not be connected to.
+    pub unreached: usize,
+    /// Whether no server of the pool could be connected to.
+    pub no_path: bool,
     /// Routers that refused the call after it was passed on to them.
     pub refusals: u32,
     /// Where the call was sent, for the log.
@@ -99,12 +106,30 @@
         }
     }
 
+    /// An answer was lost, though its server may have run the call.
+    pub fn record_loss(&mut self, cause: String) {
+        self.last_failure = Some(cause);
+        self.losses += 1;
+        self.just_lost = true;
+    }
+
+    /// How long to wait before the call is sent again after its answer was lost; `None` if it was not.
+    pub fn take_repeat_delay(&mut self) -> Option<Duration> {
+        std::mem::take(&mut self.just_lost).then(|| repeat_delay(self.losses))
+    }
+
     /// The history for a response that goes on after this one ends; this one is not logged then.
     pub fn hand_over(&mut self) -> Self {
         let trail = self.trail.hand_over();
         Self { trail, ..self.clone() }
     }
 
+    /// Servers and routers that the call was sent to, or would have been: those that refuse connections
+    /// cost no attempt that another one could use.
+    pub fn targets_tried(&self) -> usize {
+        self.servers.len().saturating_sub(self.unreached)
+    }
+
     /// What was done for a call since it was passed on to this router.
     pub fn account(&self, call: &Call) -> HopAccount {
         let Some(hop) = &call.hop else { return HopAccount::default() };
@@ -173,18 +198,32 @@
         }
     }
 
-    /// Whether the call may be sent to another server: route, attempt limit and deadline allow it.
+    /// Whether the call may be sent to another server.
     pub(super) fn may_retry(&self, history: &AttemptHistory) -> bool {
-        let may_end_servers = self.ended_servers.load(Ordering::Relaxed) >= MAX_ENDED_SERVERS
-            || (history.last_failure.is_some() && self.gateway.parts.is_watched(&self.suspects));
-        if may_end_servers {
-            log::info!("call {}: not tried again, as it may end servers", self.log_id());
-            return false;
-        }
+        self.allows_retry(history) && !self.may_end_servers(history)
+    }
+
+    /// Whether route, attempt limit and deadline allow another attempt.
+    pub(super) fn allows_retry(&self, history: &AttemptHistory) -> bool {
         let is_repeatable = history.last_failure.is_none() || self.route.kind.is_retry_safe();
         is_repeatable && self.sends_left(history) > 0 && Instant::now() < self.deadline
     }
 
+    /// Whether servers end under the call, so that another attempt might cost one more. It is not to blame
+    /// where others end as well, which may be known only some time after its own.
+    pub(super) fn may_end_servers(&self, history: &AttemptHistory) -> bool {
+        let parts = &self.gateway.parts;
+        if self.ended_servers.load(Ordering::Relaxed) > 0 && parts.is_mass_end(&self.suspects) {
+            self.ended_servers.store(0, Ordering::Relaxed);
+        }
+        let is_to_blame = self.ended_servers.load(Ordering::Relaxed) >= MAX_ENDED_SERVERS
+            || (history.last_failure.is_some() && parts.is_watched(&self.suspects));
+        if is_to_blame {
+            log::info!("call {}: not tried again, as it may end servers", self.log_id());
+        }
+        is_to_blame
+    }
+
     /// How often the call may still be sent, by its route and by the router that has passed it on.
     pub(super) fn sends_left(&self, history: &AttemptHistory) -> u32 {
         let most = history.most_sends.unwrap_or(u32::MAX).min(self.route.max_attempts);
--- a/src/gateway/attempt_trail.rs
+++ b/src/gateway/attempt_trail.rs
@@ -43,7 +43,9 @@
     pub fn of(outcome: &SendOutcome) -> Self {
         match outcome {
             SendOutcome::Answered(_) => Self::Answered,
-            SendOutcome::NotSent(_) | SendOutcome::Unreached(_) => Self::NotSent,
+            SendOutcome::NotSent(_) | SendOutcome::Unreached(_) | SendOutcome::NoPath => {
+                Self::NotSent
+            }
             SendOutcome::Refused { .. } | SendOutcome::NotRun(_) => Self::NotRun,
             SendOutcome::Lost(_) => Self::Lost,
         }
@@ -75,6 +77,12 @@
         if self.call.is_empty() {
             call.clone_into(&mut self.call);
         }
+        // Any number of servers may refuse connections.
+        if self.steps.len() == MAX_STEPS
+            && let Some(index) = self.steps.iter().position(|s| s.outcome == StepOutcome::NotSent)
+        {
+            self.steps.remove(index);
+        }
         if self.steps.len() < MAX_STEPS {
             let (target, outcome) = (target.clone(), StepOutcome::Open);
             self.steps.push(Step { target, passed_on: None, outcome });
@@ -83,7 +91,9 @@
 
     /// The outcome of the step that began last.
     pub fn end(&mut self, outcome: StepOutcome) {
-        if let Some(step) = self.steps.last_mut() {
+        if let Some(step) = self.steps.last_mut()
+            && step.outcome == StepOutcome::Open
+        {
             step.outcome = outcome;
         }
     }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -10,9 +10,9 @@
 use http::StatusCode;
 use std::time::{Duration, Instant};
 
-/// The most servers tried for one call, including those that could not be reached.
+/// The most servers tried for one call, besides those that could not be connected to.
 const MAX_SERVERS_TRIED: usize = 8;
-/// The most servers and routers tried for one call.
+/// The most servers and routers tried for one call, besides servers that could not be connected to.
 const MAX_TARGETS_TRIED: usize = 12;
 /// Routers that may refuse a call that is passed on before the caller is told to come back.
 const MAX_REFUSALS: u32 = 2;
@@ -52,7 +52,13 @@
     ) -> Result<Box<Exchange>, GatewayError> {
         let session = self.head.session.as_deref();
         loop {
-            if history.sends > 0 && !self.may_retry(history) {
+            if history.sends > 0 && !self.allows_retry(history) {
+                return Err(self.final_error(history));
+            }
+            if let Some(delay) = history.take_repeat_delay() {
+                tokio::time::sleep(delay).await;
+            }
+            if history.sends > 0 && self.may_end_servers(history) {
                 return Err(self.final_error(history));
             }
             let target = self.next_target(history).await?;
@@ -64,7 +70,8 @@
                 });
             }
             let budget_taken = std::mem::take(&mut history.budget_taken);
-            if history.sends > 0 && !budget_taken && !self.gateway.take_retry(&self.pool) {
+            let is_retry = history.sends > 0;
+            if is_retry && !budget_taken && !self.gateway.take_retry(&self.pool) {
                 return Err(self.final_error(history));
             }
             let name = target.name().clone();
@@ -80,8 +87,16 @@
                     if let (SendOutcome::Answered(_), Some(session)) = (&outcome, session) {
                         self.gateway.sessions.record(session, version);
                     }
-                    if let SendOutcome::NotSent(_) | SendOutcome::Unreached(_) = outcome {
+                    if let SendOutcome::NotSent(_)
+                    | SendOutcome::Unreached(_)
+                    | SendOutcome::NoPath = outcome
+                    {
                         history.sends -= 1;
+                        // What was not sent is no repeat: the next attempt needs no budget of its own.
+                        history.budget_taken = is_retry || budget_taken;
+                    }
+                    if let SendOutcome::Unreached(_) = outcome {
+                        history.unreached += 1;
                     }
                     outcome
                 }
@@ -101,9 +116,15 @@
                     log::info!("call {}: could not send to {name}: {cause}", self.log_id());
                 }
                 SendOutcome::Unreached(cause) => {
-                    history.unreached += 1;
                     log::info!("call {}: could not reach {name}: {cause}", self.log_id());
                 }
+                SendOutcome::NoPath => {
+                    history.no_path = true;
+                    log::info!(
+                        "call {}: not sent to {name}, as no server of its pool can be reached",
+                        self.log_id()
+                    );
+                }
                 SendOutcome::Refused { status, wait } => {
                     history.refusals += 1;
                     history.servers.push(name.clone());
@@ -121,7 +142,7 @@
                         self.log_id(),
                         self.pool
                     );
-                    history.last_failure = Some(cause);
+                    history.record_loss(cause);
                 }
             }
         }
@@ -130,23 +151,28 @@
     /// Selects a server for the next attempt, or another router if no server can be reached.
     async fn next_target(&self, history: &AttemptHistory) -> Result<Target, GatewayError> {
         let path = self.gateway.paths.pool(&self.pool);
-        if path.is_lost() {
-            let helper = self.next_helper(history).await;
-            return helper.ok_or_else(|| match self.final_error(history) {
-                GatewayError::NoServer(pool) => GatewayError::NoPath(pool),
-                error => error,
-            });
+        if path.is_lost() || path.is_narrow() {
+            if let Some(helper) = self.next_helper(history).await {
+                return Ok(helper);
+            }
+            // A server that can be reached, or has come since then, is worth a try.
+            if path.is_lost() && path.refuses_connections(&self.gateway) {
+                return Err(match self.final_error(history) {
+                    GatewayError::NoServer(pool) => GatewayError::NoPath(pool),
+                    error => error,
+                });
+            }
         }
         match self.next_server(history).await {
             Ok(selected) => Ok(Target::Server(selected)),
-            Err(error) if history.unreached == 0 => Err(error),
+            Err(error) if history.unreached == 0 && !history.no_path => Err(error),
             Err(error) => self.next_helper(history).await.ok_or(error),
         }
     }
 
     /// Selects another router for the next attempt. A call is passed on once only.
     async fn next_helper(&self, history: &AttemptHistory) -> Option<Target> {
-        if self.hop.is_some() || history.servers.len() >= MAX_TARGETS_TRIED {
+        if self.hop.is_some() || history.targets_tried() >= MAX_TARGETS_TRIED {
             return None;
         }
         self.gateway.helpers.pick(&self.gateway, &history.servers).await.map(Target::Router)
@@ -171,7 +197,7 @@
     /// waits until one may be sent the call; returns at once if that would be too late.
     async fn next_server(&self, history: &AttemptHistory) -> Result<SelectedServer, GatewayError> {
         loop {
-            if history.servers.len() >= MAX_SERVERS_TRIED {
+            if history.targets_tried() >= MAX_SERVERS_TRIED {
                 return Err(self.final_error(history));
             }
             let servers = match self.select_server(&history.servers) {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -123,7 +123,7 @@
             match StreamRelay::open(call.clone(), exchange).await {
                 Ok(opened) => return Ok(relay_stream(opened, history.hand_over())),
                 Err(cause) => {
-                    history.last_failure = Some(cause);
+                    history.record_loss(cause);
                     continue;
                 }
             }
@@ -132,7 +132,7 @@
         exchange.response_started();
         match collect_response(exchange).await {
             Ok(response) => return Ok(response),
-            Err(cause) => history.last_failure = Some(cause),
+            Err(cause) => history.record_loss(cause),
         }
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! One call at one backend server, up to the head of its response.
 
-use super::Gateway;
 use super::accepted_call::Call;
+use super::answer_watch::{AnswerWatch, Owed};
 use super::hop::HOP;
 use super::hop_account::ALLOWANCE;
 use super::part_watch::RunRecord;
@@ -12,8 +12,8 @@
 use super::server_table::{InFlightCall, ServerState};
 use super::tallies::{CallOutcome, CallRecorder};
 use super::{ForwardedHead, ResponseHead};
-use crate::backend::{BackendBody, ByteBudget, PooledConnection, SendError};
-use crate::policy::Helper;
+use crate::backend::{BackendBody, ByteBudget, PooledConnection, SendError, WritePermit};
+use crate::policy::{ConnectFailure, Helper};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -23,8 +23,10 @@
 /// A connection is dropped this long before its server's announced keep-alive timeout, which is in
 /// whole seconds, so that no call is sent while the server closes it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
-/// Why a call is not sent to a server of a pool that cannot be reached.
-const PATH_LOST: &str = "no server of the pool can be reached";
+/// Why a call gets no response from a server of a pool that cannot be reached.
+const NO_SERVER_REACHED: &str = "no server of the pool can be reached";
+/// Why a call is not sent to a server that did not answer when others of its pool were tried.
+const FOUND_UNREACHED: &str = "the server accepts no connections, and others do";
 /// How long an idle connection is kept if its server announces no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(3);
 
@@ -36,6 +38,8 @@
     NotSent(String),
     /// No byte of the call was sent, as the server cannot be connected to.
     Unreached(String),
+    /// No byte of the call was sent, as no server of the pool can be connected to.
+    NoPath,
     /// The router that the call was passed on to refuses it, and it was not run there.
     Refused {
         /// The status of the refusal.
@@ -63,8 +67,8 @@
     pub timeout: ResponseTimeout,
     sent_at: Instant,
     run: RunRecord,
-    /// The path on which bytes of the response come; `None` for a call that was passed on.
-    path: Option<Arc<PoolPath>>,
+    /// Watches whether the server can be reached; `None` for a call that was passed on.
+    watch: Option<AnswerWatch>,
     /// The budget that the bytes held of the response count towards.
     pub buffers: Arc<ByteBudget>,
     connection: PooledConnection,
@@ -94,7 +98,7 @@
             sent_at,
             // The account that came with the head does not tell of a server that ends after it.
             run: gateway.passed_on.runs.begin_run(&call.suspects, &call.ended_servers),
-            path: None,
+            watch: None,
             buffers: gateway.buffers.clone(),
             connection,
         }
@@ -117,27 +121,23 @@
 
     /// Whether the response comes from a server by way of another router.
     pub fn is_passed_on(&self) -> bool {
-        self.path.is_none()
+        self.watch.is_none()
     }
 
-    /// Waits until the path on which the response comes is lost.
-    pub async fn until_path_lost(path: Option<Arc<PoolPath>>, gateway: &Arc<Gateway>) {
-        match path {
-            Some(path) => path.until_lost(gateway).await,
-            None => std::future::pending().await,
-        }
+    /// Watches whether the server can be reached; `None` for a call that was passed on.
+    pub fn watch(&self) -> Option<AnswerWatch> {
+        self.watch.clone()
     }
 
-    /// The path on which the response comes; `None` for a call that was passed on.
-    pub fn path(&self) -> Option<Arc<PoolPath>> {
-        self.path.clone()
+    /// Bytes of the answer have arrived.
+    pub fn bytes_received(&self) {
+        if let Some(watch) = &self.watch {
+            watch.record_heard();
+        }
     }
 
     /// An event of the answer has arrived.
     pub fn event_received(&mut self, event: u64) {
-        if let Some(path) = &self.path {
-            path.record_heard();
-        }
         self.recorder.event_received(event);
         self.run.answer_received();
     }
@@ -190,7 +190,7 @@
         let path = self.gateway.paths.pool(&self.pool);
         let mut connection = match self.connect(&server, new_connection, &path).await {
             Ok(connection) => connection,
-            Err(cause) => return SendOutcome::Unreached(cause),
+            Err(outcome) => return outcome,
         };
         // Opening the connection took time, in which the server may have said more.
         if self.gateway.servers.is_leaving(&server.vm.name) || !server.backoff_left().is_zero() {
@@ -201,27 +201,39 @@
             connection.return_to_pool();
             return SendOutcome::NotSent("the server's limit allows no call now".to_owned());
         };
-        connection.set_permit(self.permit());
+        let write_permit = self.permit();
+        connection.set_permit(write_permit.clone());
         let request = self.request(&server.vm.name, last_event);
         let mut run = self.gateway.parts.begin_run(&self.suspects, &self.ended_servers);
         let sent_at = Instant::now();
         permit.spend();
+        let watch = AnswerWatch::begin(path.clone(), server.clone());
+        if let Some(gap) = self.route.gap_target {
+            path.allow_gap(gap);
+        }
         let waiting = self.wait_for_response(timeout, connection.send_unchanged(request));
-        let result = match self.unless_lost(&path, waiting).await {
+        let result = match self.unless_given_up(&watch, waiting).await {
             Some(result) => result,
             None if connection.bytes_written() == 0 => {
                 permit.unspend();
-                return SendOutcome::Unreached(PATH_LOST.to_owned());
+                return SendOutcome::NoPath;
             }
-            None => return SendOutcome::Lost(PATH_LOST.to_owned()),
+            None => return SendOutcome::Lost(NO_SERVER_REACHED.to_owned()),
         };
         let response = match result {
             Ok(Ok(response)) => {
-                path.record_heard();
+                watch.record_heard();
                 response
             }
             Ok(Err(SendError::NotSent(cause))) => {
                 permit.unspend();
+                // An idle connection may end at any time; one that was opened for the call ends with its
+                // server, unless the call may not be written any more.
+                if connection.is_new() && write_permit.run_if_permitted(&mut || ()) {
+                    server.pause_unreached();
+                    path.record_unreached(&self.gateway, &server.vm.name, ConnectFailure::Refused);
+                    return SendOutcome::Unreached(cause);
+                }
                 return SendOutcome::NotSent(cause);
             }
             Ok(Err(SendError::MaybeSent(cause))) => {
@@ -229,7 +241,7 @@
                 run.server_ended(&server.vm.name, sent_at.elapsed());
                 server.pause();
                 if connection.is_new() {
-                    path.record_unreached(&self.gateway, &server.vm.name);
+                    path.record_unreached(&self.gateway, &server.vm.name, ConnectFailure::Refused);
                 }
                 return SendOutcome::Lost(cause);
             }
@@ -273,58 +285,61 @@
             timeout,
             sent_at,
             run,
-            path: Some(path),
+            watch: Some(watch),
             buffers: self.gateway.buffers.clone(),
             connection,
         }))
     }
 
-    /// Connects to a server; says why if that is not possible.
+    /// Connects to a server, or says what came of it.
     async fn connect(
         &self,
         server: &ServerState,
         new_connection: bool,
         path: &Arc<PoolPath>,
-    ) -> Result<PooledConnection, String> {
+    ) -> Result<PooledConnection, SendOutcome> {
         let (connections, address) = (&self.gateway.connections, server.vm.address);
         let idle = if new_connection { None } else { connections.acquire_idle(address) };
         if let Some(connection) = idle {
             return Ok(connection);
         }
         if self.hop.is_none() && path.refuses_connections(&self.gateway) {
-            return Err(PATH_LOST.to_owned());
+            return Err(SendOutcome::NoPath);
         }
-        let connected = tokio::select! {
-            connected = connections.acquire(address, true) => connected,
-            () = path.until_lost(&self.gateway) => return Err(PATH_LOST.to_owned()),
+        let was_lost = path.is_lost();
+        let opened = tokio::select! {
+            opened = connections.open(address) => opened,
+            // A server that has come since the path was lost is worth a try.
+            () = path.until_lost(&self.gateway), if !was_lost => return Err(SendOutcome::NoPath),
+            () = path.until_unreached(&server.vm.name) => {
+                return Err(SendOutcome::Unreached(FOUND_UNREACHED.to_owned()));
+            }
         };
-        match connected {
-            Ok(connection) => {
+        match opened {
+            Ok(stream) => {
                 path.record_connected();
-                Ok(connection)
+                let adopted = connections.adopt(address, stream).await;
+                adopted.map_err(|error| SendOutcome::NotSent(error.to_string()))
             }
-            Err(error) => {
-                server.pause();
-                path.record_unreached(&self.gateway, &server.vm.name);
-                Err(error.to_string())
+            Err(failure) => {
+                server.pause_unreached();
+                path.record_unreached(&self.gateway, &server.vm.name, failure);
+                Err(SendOutcome::Unreached(failure.to_string()))
             }
         }
     }
 
-    /// The output of `waiting`, or `None` once the path is lost and the call may be sent again.
-    async fn unless_lost<F>(&self, path: &Arc<PoolPath>, waiting: F) -> Option<F::Output>
+    /// The output of `waiting`, or `None` once the server cannot be reached and the call may be sent
+    /// again.
+    async fn unless_given_up<F>(&self, watch: &AnswerWatch, waiting: F) -> Option<F::Output>
     where
         F: Future,
     {
-        let mut waiting = std::pin::pin!(waiting);
+        // One that may not be repeated may have run, and the answer may still come.
+        let may_repeat = self.route.kind.is_retry_safe();
         tokio::select! {
-            output = waiting.as_mut() => return Some(output),
-            () = path.until_lost(&self.gateway) => {}
-        }
-        match self.route.kind.is_retry_safe() {
-            true => None,
-            // It may have run, and the answer may still come.
-            false => Some(waiting.await),
+            output = waiting => Some(output),
+            () = watch.until_given_up(&self.gateway, Owed::Head), if may_repeat => None,
         }
     }
 
--- a/src/gateway/part_watch.rs
+++ b/src/gateway/part_watch.rs
@@ -4,7 +4,7 @@
 use crate::name::VmName;
 use crate::peer::BlockedSuspects;
 use crate::policy::RunEnd;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -22,6 +22,12 @@
 /// Ends that are remembered; more than these say nothing new.
 const MAX_ENDED: usize = 256;
 
+/// Servers that end within `MASS_END_SPAN` under calls that have nothing to do with each other, besides the
+/// one in question, for no call to be to blame.
+const MASS_END_SERVERS: usize = 3;
+/// See [`MASS_END_SERVERS`].
+const MASS_END_SPAN: Duration = Duration::from_secs(1);
+
 /// What is blocked and watched, and what is to be reported of runs.
 #[derive(Debug)]
 pub struct PartWatch {
@@ -103,10 +109,16 @@
     pub fn server_ended(&mut self, server: &VmName, age: Duration) {
         // A run that was answered for long has not ended the server.
         let suspects = if self.is_sound { Vec::new() } else { self.suspects.to_vec() };
-        self.ended_servers.fetch_add(u32::from(!self.is_sound), Ordering::Relaxed);
+        let others = self.watch.count_other_ends(Some(server), &suspects);
+        let may_be_to_blame = !self.is_sound && others < MASS_END_SERVERS;
+        self.ended_servers.fetch_add(u32::from(may_be_to_blame), Ordering::Relaxed);
         let names: Vec<String> = suspects.iter().map(Suspect::to_string).collect();
         let age_ms = age.as_millis();
-        log::info!("server {server} ended {age_ms} ms into a call with {}", names.join(", "));
+        log::info!(
+            "server {server} ended {age_ms} ms into a call with {}; {others} others ended just before \
+             under other calls",
+            names.join(", ")
+        );
         self.watch.record_end(RunEnd {
             suspects,
             server: server.clone(),
@@ -140,6 +152,30 @@
         }
     }
 
+    /// Whether so many servers have ended within `MASS_END_SPAN`, and not under calls with one of these, that
+    /// no call is to blame.
+    pub fn is_mass_end(&self, suspects: &[Suspect]) -> bool {
+        self.count_other_ends(None, suspects) >= MASS_END_SERVERS
+    }
+
+    /// Servers besides this one that have ended within `MASS_END_SPAN`, but for those that ended under a call
+    /// with one of these: other calls that ran there ended with them.
+    fn count_other_ends(&self, server: Option<&VmName>, suspects: &[Suspect]) -> usize {
+        let inner = self.inner.lock().expect("part watch lock");
+        let recent =
+            inner.ended.iter().rev().take_while(|ended| ended.at.elapsed() < MASS_END_SPAN);
+        let (mut others, mut own) = (HashSet::new(), HashSet::from_iter(server));
+        for NumberedEnd { end, .. } in recent {
+            let is_own = end.suspects.iter().any(|suspect| suspects.contains(suspect));
+            if is_own {
+                own.insert(&end.server)
+            } else {
+                others.insert(&end.server)
+            };
+        }
+        others.difference(&own).count()
+    }
+
     fn record_end(&self, end: RunEnd) {
         let now = Instant::now();
         let mut inner = self.inner.lock().expect("part watch lock");
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -1,25 +1,25 @@
 //! Whether this router reaches the servers of each pool, and finding out where it is not clear.
 
 use super::Gateway;
+use super::path_sweep::Sweep;
+use super::server_table::ServerState;
 use crate::group::since_start;
 use crate::name::{PoolName, VmName};
-use crate::policy::{MIN_SILENCE, PathMonitor, PathState};
+use crate::policy::{ConnectFailure, MIN_SILENCE, PathMonitor, PathState};
 use rand::seq::IndexedRandom;
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-/// Time limit for the connection with which a silent pool is tried.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Servers that are tried at the same time while a path may be lost.
-const PROBES: usize = 3;
-/// How often a server is tried while the path to its pool is lost.
+/// How often servers are tried while none accepts connections.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
-/// Delay before further servers are tried after the first did not accept.
+/// Turns in which all servers of a pool are tried once, on average, while none accepts connections.
+const TURNS_FOR_ALL: usize = 5;
+/// A path is narrow if a pool has more than this many times the servers that can be reached.
+const NARROW_PATH_FACTOR: usize = 4;
+/// Delay before the servers are tried again if the list has grown meanwhile.
 const RECHECK_DELAY: Duration = Duration::from_millis(10);
 /// How long a silent pool is not tried again after one of its servers accepted a connection.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
@@ -31,10 +31,18 @@
     monitor: Mutex<PathMonitor>,
     /// When bytes of a response last came, in ms since process start.
     heard_at: AtomicU64,
+    /// The longest pause that a route allows within an answer of this pool, in ms.
+    gap: AtomicU64,
     /// When a server last accepted a connection with which it was tried, in ms since process start.
     probed_at: AtomicU64,
     is_probing: AtomicBool,
     lost: watch::Sender<bool>,
+    /// Whether few servers can be reached, and the hosts of most others don't answer.
+    is_narrow: AtomicBool,
+    /// The servers whose hosts did not answer when one of the pool last accepted a connection.
+    silent: Mutex<BTreeSet<VmName>>,
+    /// The servers that did not accept a connection when one of the pool last did.
+    unreached: watch::Sender<BTreeSet<VmName>>,
 }
 
 /// The paths to all pools.
@@ -58,18 +66,22 @@
             pool: pool.clone(),
             monitor: Mutex::default(),
             heard_at: AtomicU64::new(now_ms()),
+            gap: AtomicU64::new(0),
             probed_at: AtomicU64::new(0),
             is_probing: AtomicBool::new(false),
             lost: watch::Sender::new(false),
+            is_narrow: AtomicBool::new(false),
+            silent: Mutex::default(),
+            unreached: watch::Sender::default(),
         });
         pools.insert(pool.clone(), path.clone());
         path
     }
 
-    /// The pools that cannot be reached.
+    /// The pools that cannot be reached, or hardly.
     pub fn lost_pools(&self) -> Vec<PoolName> {
         let pools = self.pools.lock().expect("paths lock");
-        let lost = pools.values().filter(|path| path.is_lost());
+        let lost = pools.values().filter(|path| path.is_lost() || path.is_narrow());
         lost.map(|path| path.pool.clone()).collect()
     }
 }
@@ -84,6 +96,11 @@
         }
     }
 
+    /// A sound server may be silent for so long within an answer.
+    pub fn allow_gap(&self, gap: Duration) {
+        self.gap.fetch_max(gap.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// A connection to a server was opened.
     pub fn record_connected(&self) {
         self.monitor.lock().expect("path lock").record_connected();
@@ -93,9 +110,19 @@
     }
 
     /// A server could not be connected to.
-    pub fn record_unreached(self: &Arc<Self>, gateway: &Arc<Gateway>, server: &VmName) {
-        self.monitor.lock().expect("path lock").record_unreached(server);
-        if self.state(gateway) != PathState::Open {
+    pub fn record_unreached(
+        self: &Arc<Self>,
+        gateway: &Arc<Gateway>,
+        server: &VmName,
+        failure: ConnectFailure,
+    ) {
+        let servers = gateway.servers.pool(&self.pool);
+        let mut monitor = self.monitor.lock().expect("path lock");
+        monitor.record_unreached(server, failure, since_start());
+        monitor.retain(|name| servers.iter().any(|server| server.vm.name == *name));
+        let is_suspect = monitor.is_suspect(servers.len());
+        drop(monitor);
+        if is_suspect {
             self.probe(gateway);
         }
     }
@@ -105,16 +132,28 @@
         *self.lost.borrow()
     }
 
-    /// Whether no new connection to a server of the pool can be opened.
+    /// Whether so few servers can be reached, as the hosts of the others don't answer, that another router may
+    /// have a better path.
+    pub fn is_narrow(&self) -> bool {
+        self.is_narrow.load(Ordering::Relaxed)
+    }
+
+    /// Whether no new connection to a server of the pool can be opened: all have been tried.
     pub fn refuses_connections(&self, gateway: &Gateway) -> bool {
         self.state(gateway) != PathState::Open
     }
 
+    /// Why a server could not be connected to, if that was so since a connection was last opened.
+    pub fn failure(&self, server: &VmName) -> Option<ConnectFailure> {
+        self.monitor.lock().expect("path lock").failure(server)
+    }
+
     fn state(&self, gateway: &Gateway) -> PathState {
         let servers = gateway.servers.pool(&self.pool);
+        let gap = Duration::from_millis(self.gap.load(Ordering::Relaxed));
         let mut monitor = self.monitor.lock().expect("path lock");
         monitor.retain(|name| servers.iter().any(|server| server.vm.name == *name));
-        monitor.state(servers.len(), self.silence())
+        monitor.state(servers.len(), self.silence(), gap)
     }
 
     /// How long no byte has come from any server of the pool.
@@ -132,9 +171,24 @@
             if tokio::time::timeout(MIN_SILENCE, changed).await.is_ok() {
                 return;
             }
-            let since_probe = now_ms().saturating_sub(self.probed_at.load(Ordering::Relaxed));
-            if self.silence() >= MIN_SILENCE && since_probe >= PROBE_PAUSE.as_millis() as u64 {
-                self.probe(gateway);
+            self.try_if_silent(gateway);
+        }
+    }
+
+    /// Tries the servers if the whole pool is silent. To be called while one owes a response.
+    pub fn try_if_silent(self: &Arc<Self>, gateway: &Arc<Gateway>) {
+        let since_probe = now_ms().saturating_sub(self.probed_at.load(Ordering::Relaxed));
+        if self.silence() >= MIN_SILENCE && since_probe >= PROBE_PAUSE.as_millis() as u64 {
+            self.probe(gateway);
+        }
+    }
+
+    /// Waits until this server is found not to accept connections while another one does.
+    pub async fn until_unreached(&self, server: &VmName) {
+        let mut unreached = self.unreached.subscribe();
+        while unreached.changed().await.is_ok() {
+            if unreached.borrow_and_update().contains(server) {
+                return;
             }
         }
     }
@@ -147,45 +201,102 @@
     }
 
     async fn probe_until_reached(self: Arc<Self>, gateway: Arc<Gateway>) {
-        let mut count = 1;
         loop {
             let servers = gateway.servers.pool(&self.pool);
-            if servers.is_empty() || self.probe_some(&gateway, count).await {
+            if servers.is_empty() || self.sweep(&gateway, servers).await {
+                self.record_connected();
+                self.probe_while_narrow(&gateway).await;
                 break;
             }
             if self.state(&gateway) == PathState::Lost && !self.lost.send_replace(true) {
-                let silent_ms = self.silence().as_millis();
-                log::warn!(
-                    "no server of pool {} can be reached, silent for {silent_ms} ms; its calls are \
-                     passed on to other routers",
-                    self.pool
-                );
+                self.log_lost(&gateway);
             }
-            let is_open = self.state(&gateway) == PathState::Open;
-            count = if is_open { PROBES } else { 1 };
-            tokio::time::sleep(if is_open { RECHECK_DELAY } else { PROBE_INTERVAL }).await;
+            let has_untried = self.state(&gateway) == PathState::Open;
+            tokio::time::sleep(if has_untried { RECHECK_DELAY } else { PROBE_INTERVAL }).await;
         }
         self.record_connected();
         self.probed_at.store(now_ms(), Ordering::Relaxed);
         self.is_probing.store(false, Ordering::Relaxed);
     }
 
-    /// Tries to connect to some servers at the same time. Returns whether one accepted.
-    async fn probe_some(&self, gateway: &Gateway, count: usize) -> bool {
-        let servers = gateway.servers.pool(&self.pool);
-        let chosen: Vec<_> = servers.choose_multiple(&mut rand::rng(), count).cloned().collect();
-        let tries = chosen.iter().map(|server| connects(server.vm.address));
-        let reached = futures::future::join_all(tries).await;
+    /// Tries servers: all of them, or some in turn once none of them has accepted. Returns whether one
+    /// accepts connections.
+    async fn sweep(&self, gateway: &Gateway, mut servers: Vec<Arc<ServerState>>) -> bool {
+        if self.state(gateway) != PathState::Open {
+            let count = servers.len().div_ceil(TURNS_FOR_ALL);
+            servers = servers.choose_multiple(&mut rand::rng(), count).cloned().collect();
+        }
+        let sweep = match self.may_be_narrow(gateway) {
+            true => Sweep::count(gateway, servers).await,
+            false => Sweep::find(gateway, servers).await,
+        };
         let mut monitor = self.monitor.lock().expect("path lock");
-        for (server, is_reached) in chosen.iter().zip(&reached) {
-            if !is_reached {
-                monitor.record_unreached(&server.vm.name);
+        for (server, failure) in &sweep.failed {
+            monitor.record_unreached(&server.vm.name, *failure, since_start());
+        }
+        let evidence = monitor.evidence(since_start());
+        drop(monitor);
+        let Some(accepted) = &sweep.accepted else { return false };
+        self.silent.lock().expect("path lock").clear();
+        if !sweep.failed.is_empty() {
+            log::info!(
+                "pool {}: {evidence}; server {accepted} accepts connections, so the path is not lost",
+                self.pool
+            );
+            sweep.failed.iter().for_each(|(server, _)| server.pause_unreached());
+            let names = sweep.failed.iter().map(|(server, _)| server.vm.name.clone());
+            self.unreached.send_replace(names.collect());
+            let silent = sweep.silent().map(|server| server.vm.name.clone());
+            *self.silent.lock().expect("path lock") = silent.collect();
+        }
+        true
+    }
+
+    /// Whether a host does not answer on a path that is not lost: others may be silent as well.
+    fn may_be_narrow(&self, gateway: &Gateway) -> bool {
+        let has_silent = self.monitor.lock().expect("path lock").has_silent();
+        has_silent && !self.is_lost() && self.state(gateway) == PathState::Open
+    }
+
+    /// Tries the servers whose hosts don't answer until one of them accepts a connection, if they are most of
+    /// the pool.
+    async fn probe_while_narrow(&self, gateway: &Gateway) {
+        loop {
+            let servers = gateway.servers.pool(&self.pool);
+            let known = self.silent.lock().expect("path lock").clone();
+            let is_silent = |server: &&Arc<ServerState>| known.contains(&server.vm.name);
+            let silent: Vec<_> = servers.iter().filter(is_silent).cloned().collect();
+            let is_narrow = servers.len() > (servers.len() - silent.len()) * NARROW_PATH_FACTOR;
+            if self.is_narrow.swap(is_narrow, Ordering::Relaxed) != is_narrow {
+                log::info!(
+                    "pool {}: the hosts of {} of {} servers don't answer, new calls are passed on: {is_narrow}",
+                    self.pool,
+                    silent.len(),
+                    servers.len()
+                );
+            }
+            if !is_narrow {
+                return;
+            }
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            let count = silent.len().div_ceil(TURNS_FOR_ALL);
+            let chosen = silent.choose_multiple(&mut rand::rng(), count).cloned().collect();
+            if Sweep::find(gateway, chosen).await.accepted.is_some() {
+                self.silent.lock().expect("path lock").clear();
             }
         }
-        reached.contains(&true)
     }
-}
 
-async fn connects(address: SocketAddr) -> bool {
-    matches!(tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+    fn log_lost(&self, gateway: &Gateway) {
+        metrics::counter!("samphireshift_paths_lost_total").increment(1);
+        let evidence = self.monitor.lock().expect("path lock").evidence(since_start());
+        log::warn!(
+            "no server of pool {} can be reached: of {} {evidence}; silent for {} ms, a sound one for up \
+             to {} ms; its calls are passed on to other routers",
+            self.pool,
+            gateway.servers.pool(&self.pool).len(),
+            self.silence().as_millis(),
+            self.gap.load(Ordering::Relaxed)
+        );
+    }
 }
--- a/src/gateway/server_selection.rs
+++ b/src/gateway/server_selection.rs
@@ -2,6 +2,7 @@
 
 use super::server_limits::{LimitToken, SendPermit};
 use super::server_table::ServerState;
+use super::standing::Standing;
 use super::{Gateway, RouteIndex};
 use crate::control::{ConfiguredRoute, PoolRollout, PoolRolloutStatus};
 use crate::name::{PoolName, VersionName, VmName};
@@ -67,7 +68,7 @@
 #[derive(Debug)]
 struct Candidate<'a> {
     server: &'a Arc<ServerState>,
-    is_paused: bool,
+    standing: Standing,
     cost: f64,
     uncached_tokens: u64,
     baseline_ms: f64,
@@ -168,7 +169,7 @@
         let mut candidates: Vec<Candidate<'_>> = fitting.into_iter().map(rate).collect();
         // If all servers are paused, the best of them is still used.
         candidates
-            .sort_unstable_by(|a, b| a.is_paused.cmp(&b.is_paused).then(a.cost.total_cmp(&b.cost)));
+            .sort_unstable_by(|a, b| a.standing.cmp(&b.standing).then(a.cost.total_cmp(&b.cost)));
         let mut dry = Vec::new();
         for candidate in candidates {
             let name = &candidate.server.vm.name;
@@ -240,8 +241,8 @@
         let baseline_ms =
             ServerView { uncached_tokens: uncached_tokens as f64, ..view }.baseline_wait();
         let estimate_ms = baseline_ms * slowness;
-        let is_paused = !snapshot.usable;
-        Candidate { server, is_paused, cost, uncached_tokens, baseline_ms, estimate_ms }
+        let standing = snapshot.standing.for_call(criteria.excluded.is_empty());
+        Candidate { server, standing, cost, uncached_tokens, baseline_ms, estimate_ms }
     }
 }
 
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -1,7 +1,8 @@
 use super::ReportedLoad;
 use super::leaving_servers::LeavingServers;
+use super::standing::Standing;
 use crate::name::{PoolName, VmName};
-use crate::policy::Helper;
+use crate::policy::{ConnectFailure, Helper};
 use crate::vms::{Vm, VmState};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, RwLock};
@@ -40,6 +41,10 @@
     paused_until: Option<Instant>,
     /// When the server last turned a call away for want of room.
     turned_away_at: Option<Instant>,
+    /// When bytes of an answer last came from the server.
+    heard_at: Option<Instant>,
+    /// When the server was last asked whether it can be connected to, and what came of it if it could not.
+    asked: Option<(Instant, Option<ConnectFailure>)>,
     /// Until when the server has asked to be sent nothing.
     backoff_until: Option<Instant>,
     cached_parts: HashMap<u64, Instant>,
@@ -58,8 +63,8 @@
     pub slowness: f64,
     /// Moving average of the fraction of failed calls.
     pub failure_rate: f64,
-    /// Whether the server is not paused.
-    pub usable: bool,
+    /// Whether the server may get calls.
+    pub standing: Standing,
 }
 
 impl ServerState {
@@ -100,7 +105,44 @@
             pending_tokens: inner.pending_tokens as f64,
             slowness: inner.slowness,
             failure_rate: inner.failure_rate,
-            usable: inner.paused_until.is_none_or(|until| Instant::now() >= until),
+            standing: Standing::new(inner.pause_count, inner.paused_until),
+        }
+    }
+
+    /// Bytes of an answer have come from the server.
+    pub fn record_heard(&self) {
+        self.inner.lock().expect("server lock").heard_at = Some(Instant::now());
+    }
+
+    /// Whether bytes have come from the server within `span`.
+    pub fn is_heard_within(&self, span: Duration) -> bool {
+        let heard_at = self.inner.lock().expect("server lock").heard_at;
+        heard_at.is_some_and(|at| at.elapsed() < span)
+    }
+
+    /// What came of asking the server within the last `span`; `None` if it is to be asked by the caller of
+    /// this, which counts as asking.
+    pub fn ask_within(&self, span: Duration) -> Option<Option<ConnectFailure>> {
+        let mut inner = self.inner.lock().expect("server lock");
+        match inner.asked {
+            Some((at, failure)) if at.elapsed() < span => Some(failure),
+            _ => {
+                inner.asked = Some((Instant::now(), None));
+                None
+            }
+        }
+    }
+
+    /// Records what came of asking whether the server can be connected to.
+    pub fn record_asked(&self, failure: Option<ConnectFailure>) {
+        self.inner.lock().expect("server lock").asked = Some((Instant::now(), failure));
+    }
+
+    /// Pauses the server, as it could not be connected to. Where many calls find that at once, it counts
+    /// once.
+    pub fn pause_unreached(&self) {
+        if self.snapshot().standing != Standing::Paused {
+            self.pause();
         }
     }
 
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -1,6 +1,8 @@
 //! Relays a stream of events to the caller, and resumes it at another server if it is interrupted.
 
+use super::Gateway;
 use super::accepted_call::{AttemptHistory, Call};
+use super::answer_watch::{AnswerWatch, Owed};
 use super::event_splitter::{EventSplitter, StreamEnd};
 use super::exchange::Exchange;
 use super::response::{
@@ -101,12 +103,14 @@
         let started = Instant::now();
         let (gateway, may_resume) =
             (self.call.gateway.clone(), self.call.route.kind.is_retry_safe());
-        let path = self.exchange.as_ref().and_then(|exchange| exchange.path());
+        let watch = self.exchange.as_ref().and_then(|exchange| exchange.watch());
+        let route = &self.call.route;
+        let owed = Owed::Bytes(route.gap_target.unwrap_or(route.latency_target));
         let read = tokio::select! {
             biased;
             read = tokio::time::timeout(left, self.read_blocks()) => read,
-            () = Exchange::until_path_lost(path, &gateway), if may_resume => {
-                return Err(io::Error::other("no server of the pool can be reached"));
+            () = until_given_up(watch, &gateway, owed), if may_resume => {
+                return Err(io::Error::other("its server cannot be reached and sends nothing"));
             }
         };
         // Only the time spent waiting for the server counts, not that of a slow caller.
@@ -132,6 +136,7 @@
             match exchange.response.body_mut().frame().await {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    exchange.bytes_received();
                     let whole = self.splitter.push(&data)?;
                     if !self.share.resize(self.splitter.held_bytes()) {
                         return Err(io::Error::other("too many bytes of responses are held"));
@@ -214,9 +219,9 @@
     async fn resume(&mut self, error: &io::Error) -> io::Result<()> {
         self.exchange = None;
         self.waited = Duration::ZERO;
-        self.history.last_failure = Some(error.to_string());
+        self.history.record_loss(error.to_string());
         // Another router that passes a call on resumes its stream itself: it has the call's account.
-        if self.call.hop.is_some() || !self.call.may_retry(&self.history) {
+        if self.call.hop.is_some() || !self.call.allows_retry(&self.history) {
             return Err(io::Error::other(error.to_string()));
         }
         let (call, last_id) = (self.call.clone(), self.splitter.last_id());
@@ -240,6 +245,14 @@
     }
 }
 
+/// Waits until an answer is given up; one that comes by way of another router is that one's to watch.
+async fn until_given_up(watch: Option<AnswerWatch>, gateway: &Arc<Gateway>, owed: Owed) {
+    match watch {
+        Some(watch) => watch.until_given_up(gateway, owed).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Builds the response to the caller from a stream.
 pub fn relay_stream(mut relay: StreamRelay, history: AttemptHistory) -> Response<ResponseBody> {
     relay.history = history;
