Expect the whole limit for calls that were sent before

But the leader gives the tokens to calls that were sent before first, whichever router they wait at: they come at the whole limit. Ruled out: the retry budget (second repeat of about six allowed), may_end_servers (it has a line of its own). Change: the expectation of calls of rank SENT_RANK rests on the whole limit while a leader answers. Such a call that is not tried again for want of a token has a log line.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -6,7 +6,7 @@
 use super::server_selection::{SelectedServer, Selection};
 use super::{Access, GatewayError};
 use crate::name::VmName;
-use crate::policy::Helper;
+use crate::policy::{Helper, SENT_RANK};
 use http::StatusCode;
 use std::time::{Duration, Instant};
 
@@ -21,10 +21,8 @@
 const LIMIT_WAIT_FRACTION: f64 = 0.5;
 /// The part of its remaining time that a call may wait for a limited server.
 const LIMIT_LEFT_FRACTION: f64 = 0.5;
-/// The rank in the queue of a call that has been sent before, as what was done for it would be lost.
-const RETRY_RANK: u8 = 0;
 /// The rank in the queue of the most urgent call that has not been sent.
-const FIRST_RANK: u8 = 1;
+const FIRST_RANK: u8 = SENT_RANK + 1;
 
 /// Where a call is sent.
 #[derive(Debug)]
@@ -207,6 +205,15 @@
             };
             let (until, rank) = self.limit_wait(history);
             let Some(token) = self.gateway.limits.wait(&servers, rank, until).await else {
+                if rank == SENT_RANK {
+                    log::info!(
+                        "call {}: not tried again, as {} servers of pool {} that name limits take it \
+                         too late",
+                        self.log_id(),
+                        servers.len(),
+                        self.pool
+                    );
+                }
                 return Err(self.limited_error(history, &servers));
             };
             let session_version = self.session_version();
@@ -224,7 +231,7 @@
         let left = self.deadline.saturating_duration_since(now);
         let latest = now + left.mul_f64(LIMIT_LEFT_FRACTION);
         if history.sends > 0 {
-            return (latest, RETRY_RANK);
+            return (latest, SENT_RANK);
         }
         let in_time = self.started + self.route.latency_target.mul_f64(LIMIT_WAIT_FRACTION);
         (in_time.min(latest), FIRST_RANK + self.rank)
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -242,7 +242,7 @@
         let mut inner = self.lock();
         let inner = &mut *inner;
         let ahead = inner.queue.count_ahead(rank, servers);
-        if now.saturating_add(expected_wait(now, &inner.local, servers, ahead)) > until {
+        if now.saturating_add(expected_wait(now, &inner.local, servers, rank, ahead)) > until {
             return None;
         }
         let queued = inner.queue.push(rank, servers, until);
@@ -264,8 +264,8 @@
         let mut inner = self.lock();
         let inner = &mut *inner;
         let ahead = inner.queue.count_ahead(rank, servers);
-        let least = expected_wait(now, &inner.local, servers, ahead + 1);
-        let rate = servers.iter().map(|server| inner.local.expected_rate(now, server)).sum();
+        let least = expected_wait(now, &inner.local, servers, rank, ahead + 1);
+        let rate = servers.iter().map(|server| inner.local.expected_rate(now, server, rank)).sum();
         inner.returns.entry(pool.clone()).or_default().promise(now, rank, least, rate, left)
     }
 
--- a/src/gateway/token_queue.rs
+++ b/src/gateway/token_queue.rs
@@ -75,9 +75,9 @@
     /// Gives up the calls whose turn would come too late.
     pub fn give_up_late(&mut self, now: Duration, limits: &LocalLimits) {
         let mut ahead: BTreeMap<Vec<VmName>, u32> = BTreeMap::new();
-        self.waiters.retain(|_, waiter| {
+        self.waiters.retain(|place, waiter| {
             let count = ahead.entry(waiter.servers.clone()).or_default();
-            let wait = expected_wait(now, limits, &waiter.servers, *count);
+            let wait = expected_wait(now, limits, &waiter.servers, place.rank, *count);
             let in_time = now.saturating_add(wait) <= waiter.until;
             *count += u32::from(in_time);
             in_time
@@ -110,17 +110,19 @@
     }
 }
 
-/// How long it is expected to take until this router has got `count` tokens of these servers. No
-/// token may take no time: whether the next one is there is known only once it was asked for.
+/// How long it is expected to take until this router has got `count` tokens of these servers for calls
+/// of this rank. No token may take no time: whether the next one is there is known only once it was
+/// asked for.
 pub fn expected_wait(
     now: Duration,
     limits: &LocalLimits,
     servers: &[VmName],
+    rank: u8,
     count: u32,
 ) -> Duration {
     if count == 0 {
         return Duration::ZERO;
     }
-    let rate: f64 = servers.iter().map(|server| limits.expected_rate(now, server)).sum();
+    let rate: f64 = servers.iter().map(|server| limits.expected_rate(now, server, rank)).sum();
     Duration::try_from_secs_f64(f64::from(count) / rate).unwrap_or(Duration::MAX)
 }
--- a/src/policy/limit_report.rs
+++ b/src/policy/limit_report.rs
@@ -2,6 +2,9 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// The rank of calls that were sent before, the most urgent: what was done for them would be lost.
+pub const SENT_RANK: u8 = 0;
+
 /// What a server said of its limit, as a router heard it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HeardLimit {
--- a/src/policy/local_limits.rs
+++ b/src/policy/local_limits.rs
@@ -3,7 +3,7 @@
 
 use super::{
     HeardLimit, KnownLimit, LimitAsk, LimitChange, LimitDemand, LimitKnowledge, LimitNews,
-    LimitPosition, LimitSource, OwnShare, ServerPace, TokenCount, WarmUps,
+    LimitPosition, LimitSource, OwnShare, SENT_RANK, ServerPace, TokenCount, WarmUps,
 };
 use crate::name::VmName;
 use std::collections::{BTreeMap, VecDeque};
@@ -347,13 +347,20 @@
         self.answered_at.unwrap_or_default() + FALL_BACK_AFTER
     }
 
-    /// Tokens a second that this router may expect of a server.
-    pub fn expected_rate(&self, now: Duration, server: &VmName) -> f64 {
+    /// Tokens a second that this router may expect of a server for calls of this rank. The leader gives
+    /// those that were sent before each token first, whichever router they wait at.
+    pub fn expected_rate(&self, now: Duration, server: &VmName, rank: u8) -> f64 {
         let fleet = self.fleet();
         let warm_up = self.warm_ups.rate(server);
         let Some(known) = self.servers.get(server) else { return warm_up.unwrap_or(0.0) };
         let own = known.limit / f64::from(fleet);
-        let limit = known.pace.filter(|_| now < self.own_from()).unwrap_or(own);
+        let has_leader = now < self.own_from();
+        let limit = match known.pace {
+            _ if !has_leader => own,
+            _ if rank == SENT_RANK => known.limit,
+            Some(pace) => pace,
+            None => own,
+        };
         limit.min(warm_up.unwrap_or(f64::MAX))
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -54,7 +54,7 @@
 pub use kind_key::KindKey;
 pub use limit_change::{LimitChange, LimitKnowledge, LimitSource};
 pub use limit_report::{
-    HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, ServerPace,
+    HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, SENT_RANK, ServerPace,
     TokenCount, TurnPlace, WarmingServers,
 };
 pub use local_limits::{Admission, LocalLimits, SendToken, TokenSource, UNLISTED_TTL};
