Count an answer that is not ended in time against its server

So the server that began each answer at once and ended none looked like the best one. Change: unfinished_answer.rs: such an answer counts as a failure. A call that its caller has left counts for nothing, as before.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use super::response::{ResponseBody, full_body, may_carry_events, strip_hop_headers};
 use super::server_selection::Selection;
 use super::stream_relay::{StreamRelay, relay_stream};
+use super::unfinished_answer::UnfinishedAnswer;
 use super::{Gateway, GatewayError};
 use crate::backend::BodyError;
 use crate::inbound::InboundBody;
@@ -96,7 +97,7 @@
             Err(error) => return failure.ok_or(error),
         };
         if exchange.response.status().is_server_error() {
-            match collect_response(exchange).await {
+            match collect_response(exchange, call.deadline).await {
                 Ok(response) if call.may_retry_after_run(history) => failure = Some(response),
                 Ok(response) => return Ok(response),
                 Err(cause) => log::info!("call {}: {cause}", call.log_id()),
@@ -130,7 +131,7 @@
         }
         call.record_response_time(exchange.elapsed());
         exchange.response_started();
-        match collect_response(exchange).await {
+        match collect_response(exchange, call.deadline).await {
             Ok(response) => return Ok(response),
             Err(cause) => history.record_loss(cause),
         }
@@ -139,9 +140,14 @@
 
 /// Reads the whole response body before any of it is sent, so that a truncated response can be
 /// retried.
-async fn collect_response(mut exchange: Box<Exchange>) -> Result<Response<ResponseBody>, String> {
+async fn collect_response(
+    mut exchange: Box<Exchange>,
+    deadline: Instant,
+) -> Result<Response<ResponseBody>, String> {
     let mut share = exchange.buffers.share();
+    let mut unfinished = UnfinishedAnswer::new(&exchange.in_flight.server, deadline);
     let read = exchange.response.body_mut().read_whole(MAX_RESPONSE_BYTES, &mut share).await;
+    unfinished.has_ended = true;
     let body = read.map_err(|error| {
         exchange.in_flight.server.record_failure();
         if let BodyError::Interrupted(_) = error {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod stream_relay;
 mod tallies;
 mod token_queue;
+mod unfinished_answer;
 mod voters;
 
 pub use event_splitter::{EventSplitter, StreamEnd};
