--- a/src/backend/backend_body.rs
+++ b/src/backend/backend_body.rs
@@ -1,5 +1,6 @@
+use super::gathered_bytes::{GatheredBytes, NoRoom};
 use super::{ByteShare, ExchangeState};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -32,12 +33,14 @@
     #[error("the response exceeds {0} bytes")]
     TooLarge(usize),
     /// This process holds too many bytes of other responses.
-    #[error("too many bytes of responses are held at the same time")]
-    NoBudget,
+    #[error(transparent)]
+    NoRoom(#[from] NoRoom),
 }
 
 impl BackendBody {
-    /// Reads the body to its end: at most `limit` bytes, which count towards `share` meanwhile.
+    /// Reads the body to its end: at most `limit` bytes, which count towards `share` meanwhile. One
+    /// of a known length waits for all of its room before it is read: many that each held a part
+    /// would wait for each other.
     ///
     /// # Errors
     /// If the body is cut short or exceeds a limit.
@@ -46,19 +49,19 @@
         limit: usize,
         share: &mut ByteShare,
     ) -> Result<Bytes, BodyError> {
-        let mut whole = BytesMut::new();
+        let known = usize::try_from(self.inner.size_hint().lower()).unwrap_or(usize::MAX);
+        if known > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        let mut whole = GatheredBytes::with_capacity(known, share).await?;
         while let Some(frame) = self.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
-            let length = whole.len() + data.len();
-            if length > limit {
+            if whole.len() + data.len() > limit {
                 return Err(BodyError::TooLarge(limit));
             }
-            if !share.resize(length) {
-                return Err(BodyError::NoBudget);
-            }
-            whole.extend_from_slice(&data);
+            whole.push(&data).await?;
         }
-        Ok(whole.freeze())
+        Ok(whole.finish())
     }
 }
 
--- a/src/backend/connection_pool.rs
+++ b/src/backend/connection_pool.rs
@@ -1,4 +1,7 @@
-use super::{BackendBody, ExchangeState, PermitCheckedStream, WritePermit};
+use super::{
+    BackendBody, ConnectionProof, ConnectionSlot, ExchangeState, PermitCheckedStream, ServerRoom,
+    ServerRooms, WritePermit,
+};
 use crate::policy::ConnectFailure;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
@@ -7,6 +10,8 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::ThreadId;
@@ -31,6 +36,9 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time before the first TCP keepalive probe, and the interval of the probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a connection that was closed here still counts where its server is full: until the server has
+/// noticed, a new one would be one too many.
+const NOTICE_TIME: Duration = Duration::from_millis(20);
 /// Shards of the idle connections, each with its own lock.
 const SHARDS: usize = 16;
 
@@ -51,14 +59,21 @@
 struct IdleConnection {
     sender: Sender,
     exchange: Arc<ExchangeState>,
+    opened_at: Instant,
+    rests_since: Instant,
     expires_at: Instant,
     thread: ThreadId,
+    /// Where the connection counts; `None` for servers that limit none.
+    proof: Option<ConnectionProof>,
 }
 
 /// A pool of HTTP/1.1 connections to backend servers.
 pub struct ConnectionPool {
     connect_timeout: Duration,
+    /// The size of the kernel's buffers of a connection, in bytes; `None` for its own choice.
+    socket_buffer: Option<usize>,
     idle: Arc<IdleConnections>,
+    rooms: ServerRooms,
 }
 
 /// Idle connections by address, in shards that each have their own lock.
@@ -74,17 +89,29 @@
     sender: Sender,
     exchange: Arc<ExchangeState>,
     thread: ThreadId,
+    opened_at: Instant,
+    /// Where the connection counts; `None` for servers that limit none.
+    proof: Option<ConnectionProof>,
     /// Whether the connection may be used for another exchange.
     reusable: bool,
     /// Whether the connection was opened for this exchange.
     is_new: bool,
+    /// Whether the server has reset it.
+    is_reset: bool,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool; `connect_timeout` is the time limit for opening a new connection.
     pub fn new(connect_timeout: Duration) -> Self {
         let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
-        Self { connect_timeout, idle: Arc::new(IdleConnections { shards }) }
+        let idle = Arc::new(IdleConnections { shards });
+        Self { connect_timeout, socket_buffer: None, idle, rooms: ServerRooms::default() }
+    }
+
+    /// Sets the size of the kernel's buffers of each connection, in bytes, so that slow servers
+    /// cost bounded memory. Without one the kernel chooses.
+    pub fn with_buffers(self, bytes: Option<usize>) -> Self {
+        Self { socket_buffer: bytes, ..self }
     }
 
     /// Takes an idle connection, or opens a new one if there is none or `fresh` is set.
@@ -101,7 +128,12 @@
         }
         let opened = self.open(address).await;
         let stream = opened.map_err(|failure| SendError::NotSent(failure.to_string()))?;
-        self.adopt(address, stream).await
+        self.adopt(address, stream, None).await
+    }
+
+    /// The connections of this process to each server that limits them.
+    pub fn rooms(&self) -> &ServerRooms {
+        &self.rooms
     }
 
     /// Opens a connection that belongs to no pool; [`Self::adopt`] takes it into this one.
@@ -111,7 +143,12 @@
     pub async fn open(&self, address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
         let connecting = TcpStream::connect(address);
         match tokio::time::timeout(self.connect_timeout, connecting).await {
-            Ok(Ok(stream)) => Ok(stream),
+            Ok(Ok(stream)) => {
+                if let Err(error) = self.bound_buffers(&stream) {
+                    log::debug!("cannot set the buffers of a connection to {address}: {error}");
+                }
+                Ok(stream)
+            }
             Ok(Err(error)) => {
                 log::debug!("no connection to {address}: {error}");
                 Err(ConnectFailure::from(&error))
@@ -120,23 +157,91 @@
         }
     }
 
+    fn bound_buffers(&self, stream: &TcpStream) -> io::Result<()> {
+        let Some(bytes) = self.socket_buffer else { return Ok(()) };
+        let socket = SockRef::from(stream);
+        socket.set_send_buffer_size(bytes)?;
+        socket.set_recv_buffer_size(bytes)
+    }
+
     /// Takes an idle connection, if there is one.
     pub fn acquire_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let thread = std::thread::current().id();
-        let (sender, exchange) = self.idle.take(address, thread)?;
+        let taken = self.idle.take(address, |idle| idle.thread == thread)?;
+        Some(self.start_exchange(address, taken))
+    }
+
+    /// Takes the idle connection that has rested for the shortest time, if that is at most `most_rest`,
+    /// and of any thread if there is none of this one.
+    pub fn take_rested(
+        &self,
+        address: SocketAddr,
+        most_rest: Duration,
+    ) -> Option<PooledConnection> {
+        let thread = std::thread::current().id();
+        let has_rested = |idle: &IdleConnection| idle.rests_since.elapsed() <= most_rest;
+        let own = self.idle.take(address, |idle| idle.thread == thread && has_rested(idle));
+        let taken = own.or_else(|| self.idle.take(address, has_rested))?;
+        Some(self.start_exchange(address, taken))
+    }
+
+    /// Closes the idle connection to a server that has rested for the longest time. Returns whether there
+    /// was one.
+    pub fn close_oldest(&self, address: SocketAddr) -> bool {
+        let mut shard = self.idle.shard(address).lock().expect("connection lock");
+        let Some(stack) = shard.get_mut(&address).filter(|stack| !stack.is_empty()) else {
+            return false;
+        };
+        let oldest = stack.remove(0);
+        drop(shard);
+        if let Some(proof) = &oldest.proof {
+            proof.begin_close();
+        }
+        true
+    }
+
+    /// Closes idle connections to a server until those that are left are within the share of its room.
+    pub fn close_beyond_share(&self, address: SocketAddr, room: &ServerRoom) {
+        while room.is_beyond_share() && self.close_oldest(address) {}
+    }
+
+    /// Whether there is an idle connection to the server.
+    pub fn has_idle(&self, address: SocketAddr) -> bool {
+        let shard = self.idle.shard(address).lock().expect("connection lock");
+        shard.get(&address).is_some_and(|stack| !stack.is_empty())
+    }
+
+    /// Closes the idle connections that may not be used any more.
+    pub fn close_expired(&self) {
+        let now = Instant::now();
+        for shard in &self.idle.shards {
+            shard.lock().expect("connection lock").retain(|_, stack| {
+                stack.retain(|idle| now < idle.expires_at && !idle.sender.is_closed());
+                !stack.is_empty()
+            });
+        }
+    }
+
+    fn start_exchange(&self, address: SocketAddr, taken: IdleConnection) -> PooledConnection {
+        let IdleConnection { sender, exchange, opened_at, thread, proof, .. } = taken;
         exchange.start(None);
-        Some(PooledConnection {
-            idle: self.idle.clone(),
+        let idle = self.idle.clone();
+        PooledConnection {
+            idle,
             address,
             sender,
             exchange,
             thread,
+            opened_at,
+            proof,
             reusable: true,
             is_new: false,
-        })
+            is_reset: false,
+        }
     }
 
-    /// Uses a connection that was opened elsewhere.
+    /// Uses a connection that was opened elsewhere. It keeps its place, if it takes one, until it is
+    /// closed.
     ///
     /// # Errors
     /// [`SendError::NotSent`] if the connection cannot be used.
@@ -144,6 +249,7 @@
         &self,
         address: SocketAddr,
         stream: TcpStream,
+        slot: Option<ConnectionSlot>,
     ) -> Result<PooledConnection, SendError> {
         let thread = std::thread::current().id();
         let not_sent = |cause: String| SendError::NotSent(cause);
@@ -155,9 +261,17 @@
             .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
             .await;
         let (sender, connection) = opened.map_err(|cause| not_sent(cause.to_string()))?;
+        let proof = slot.as_ref().map(|slot| slot.proof().clone());
         tokio::spawn(async move {
             // The exchange in progress gets the same error from its sender.
             let _ = connection.await;
+            if let Some(slot) = &slot {
+                slot.proof().begin_close();
+                if slot.room().is_in_doubt() {
+                    tokio::time::sleep(NOTICE_TIME).await;
+                }
+            }
+            drop(slot);
         });
         let idle = self.idle.clone();
         Ok(PooledConnection {
@@ -166,8 +280,11 @@
             sender,
             exchange,
             thread,
+            opened_at: Instant::now(),
+            proof,
             reusable: true,
             is_new: true,
+            is_reset: false,
         })
     }
 
@@ -189,7 +306,11 @@
     }
 
     async fn fetch(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Bytes> {
-        let mut connection = self.acquire(address, false).await.ok()?;
+        // An idle connection of any thread will do: a poll is not to open one for each thread that asks.
+        let mut connection = match self.take_rested(address, IDLE_TIMEOUT) {
+            Some(connection) => connection,
+            None => self.acquire(address, true).await.ok()?,
+        };
         let response = connection.send(request).await.ok()?;
         if !response.status().is_success() {
             return None;
@@ -205,18 +326,21 @@
 
 impl IdleConnections {
     fn shard(&self, address: SocketAddr) -> &Mutex<HashMap<SocketAddr, Vec<IdleConnection>>> {
-        &self.shards[address.port() as usize % SHARDS]
+        &self.shards[super::shard_of(address, SHARDS)]
     }
 
-    fn take(&self, address: SocketAddr, thread: ThreadId) -> Option<(Sender, Arc<ExchangeState>)> {
+    /// Takes the newest usable connection that fits. A connection's task runs on the thread that opened
+    /// the connection: used from another thread, it needs two wake-ups across threads for each token.
+    fn take<F>(&self, address: SocketAddr, fits: F) -> Option<IdleConnection>
+    where
+        F: Fn(&IdleConnection) -> bool,
+    {
         let mut shard = self.shard(address).lock().expect("connection lock");
         let stack = shard.get_mut(&address)?;
-        // A connection's task runs on the thread that opened the connection. Used from another
-        // thread, the connection would need two wake-ups across threads for each token.
-        while let Some(index) = stack.iter().rposition(|idle| idle.thread == thread) {
+        while let Some(index) = stack.iter().rposition(&fits) {
             let idle = stack.remove(index);
             if idle.sender.is_ready() && Instant::now() < idle.expires_at {
-                return Some((idle.sender, idle.exchange));
+                return Some(idle);
             }
         }
         None
@@ -229,6 +353,39 @@
         self.is_new
     }
 
+    /// Where the connection counts; `None` for servers that limit none.
+    pub fn room(&self) -> Option<&Arc<ServerRoom>> {
+        self.proof.as_ref().map(ConnectionProof::room)
+    }
+
+    /// What tells the room of the connection; `None` where the server does not limit connections.
+    pub fn proof(&self) -> Option<&ConnectionProof> {
+        self.proof.as_ref()
+    }
+
+    /// Whether the server has reset the connection in this exchange. A kernel resets where bytes were not
+    /// read, so a server that had read the request closes it without one.
+    pub fn is_reset(&self) -> bool {
+        self.is_reset
+    }
+
+    /// Whether the connection may be one more than the server accepts.
+    pub fn may_be_extra(&self) -> bool {
+        self.proof.as_ref().is_some_and(ConnectionProof::may_be_extra)
+    }
+
+    /// The server has answered on the connection.
+    pub fn record_answered(&self) {
+        if let Some(proof) = &self.proof {
+            proof.record_answered();
+        }
+    }
+
+    /// Time since the connection was opened.
+    pub fn age(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
+
     /// Bytes of this exchange that were written.
     pub fn bytes_written(&self) -> u64 {
         self.exchange.bytes_written()
@@ -264,6 +421,7 @@
     ) -> Result<Response<BackendBody>, SendError> {
         let outcome = self.sender.try_send_request(request).await;
         self.exchange.record_progress();
+        self.is_reset = outcome.as_ref().err().is_some_and(|error| is_reset(error.error()));
         let response = outcome.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent(error.error().to_string()),
             None if self.exchange.bytes_written() == 0 => {
@@ -291,22 +449,56 @@
         if !self.reusable {
             return;
         }
+        // The connection's task may not have noticed yet that the response has ended: one that is taken
+        // before would be closed.
+        if self.proof.is_some() && !self.sender.is_ready() {
+            tokio::spawn(self.return_once_ready(idle_timeout));
+        } else {
+            self.put_back(idle_timeout);
+        }
+    }
+
+    async fn return_once_ready(mut self, idle_timeout: Duration) {
+        // A server that does not read the rest of a request would keep its place.
+        let ready = tokio::time::timeout(idle_timeout.min(IDLE_TIMEOUT), self.sender.ready()).await;
+        if matches!(ready, Ok(Ok(()))) {
+            self.put_back(idle_timeout);
+        }
+    }
+
+    fn put_back(self, idle_timeout: Duration) {
+        if self.proof.as_ref().is_some_and(ConnectionProof::closes_beyond_share) {
+            return;
+        }
         let now = Instant::now();
         let mut shard = self.idle.shard(self.address).lock().expect("connection lock");
         let stack = shard.entry(self.address).or_default();
         stack.retain(|idle| now < idle.expires_at);
         if stack.len() < MAX_IDLE_PER_ADDRESS {
-            let PooledConnection { sender, exchange, thread, .. } = self;
+            let PooledConnection { sender, exchange, thread, opened_at, proof, .. } = self;
+            let freed = proof.clone();
             stack.push(IdleConnection {
                 sender,
                 exchange,
+                opened_at,
+                rests_since: now,
                 expires_at: now + idle_timeout.min(IDLE_TIMEOUT),
                 thread,
+                proof,
             });
+            drop(shard);
+            if let Some(proof) = freed {
+                proof.room().wake();
+            }
         }
     }
 }
 
+fn is_reset(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    cause.is_some_and(|cause| cause.kind() == io::ErrorKind::ConnectionReset)
+}
+
 fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -7,8 +7,10 @@
 mod chunk;
 mod connection_pool;
 mod engine;
+mod gathered_bytes;
 mod load;
 mod rating;
+mod server_room;
 mod write_permit;
 
 pub use backend_body::{BackendBody, BodyError};
@@ -17,6 +19,16 @@
 pub use chat_stream_parser::{ChatStreamParser, ParsedEvents, StreamError};
 pub use connection_pool::{ConnectionPool, PooledConnection, SendError};
 pub use engine::{ChatCompletion, EngineCall, REQUEST_ID_HEADER, Usage, estimate_tokens};
+pub use gathered_bytes::{GatheredBytes, NoRoom};
 pub use load::{LoadReport, LoadSink, LoadedVersions};
 pub use rating::{RatingRequest, request_rating};
+pub use server_room::{ConnectionProof, ConnectionSlot, ServerRoom, ServerRooms};
 pub use write_permit::{ExchangeState, PermitCheckedStream, WritePermit};
+
+/// The shard of a server's connections.
+fn shard_of(server: std::net::SocketAddr, shards: usize) -> usize {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    server.hash(&mut hasher);
+    (hasher.finish() % shards as u64) as usize
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod bills;
 mod client;
 mod cluster;
+mod evacuations;
 mod events;
 mod health;
 mod options;
@@ -54,6 +55,7 @@
         Command::Rollouts(_) => versions::show_rollouts(&Client::new(options)?),
         Command::Bills(bills) => bills::show_bills(&Client::new(options)?, bills),
         Command::Parts(args) => parts::run(&Client::new(options)?, args),
+        Command::Evacuations(args) => evacuations::run(&Client::new(options)?, args),
         Command::Timeline(timeline) => events::show_timeline(&Client::new(options)?, timeline),
         Command::Explain(explain) => events::explain(&Client::new(options)?, explain),
     }
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -43,6 +43,8 @@
     Bills(BillsArgs),
     /// Show or clear blocked parts of prompts and blocked requests.
     Parts(PartsArgs),
+    /// Show, begin or finish evacuations of data centres.
+    Evacuations(EvacuationsArgs),
     /// Show events of all daemons.
     Timeline(TimelineArgs),
     /// Explain the history of a request, a ticket or a version.
@@ -160,6 +162,43 @@
     pub clear: Option<String>,
 }
 
+/// Show the data centres whose servers get no calls, or begin or finish the evacuation of one.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "evacuations")]
+pub struct EvacuationsArgs {
+    /// begin or finish one; without it, they are listed
+    #[argh(subcommand)]
+    pub order: Option<EvacuationOrder>,
+}
+
+/// An order for one data centre.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum EvacuationOrder {
+    /// Send nothing more to a data centre.
+    Begin(BeginEvacuationArgs),
+    /// Take a data centre back.
+    Finish(FinishEvacuationArgs),
+}
+
+/// Send no new calls to the servers of a data centre. Calls that run go on.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "begin")]
+pub struct BeginEvacuationArgs {
+    /// the data centre
+    #[argh(positional)]
+    pub data_centre: String,
+}
+
+/// Send calls to the servers of a data centre again.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "finish")]
+pub struct FinishEvacuationArgs {
+    /// the data centre
+    #[argh(positional)]
+    pub data_centre: String,
+}
+
 /// Show the events of all daemons in causal order.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "timeline")]
--- a/src/cli/ticket.rs
+++ b/src/cli/ticket.rs
@@ -40,8 +40,8 @@
 fn apply(client: &Client, args: &TicketApplyArgs) -> Result<(), Error> {
     let path = &args.file;
     let bytes = std::fs::read(path).map_err(|cause| Error::File { path: path.clone(), cause })?;
-    let ticket: Ticket = serde_json::from_slice(&bytes).map_err(|cause| {
-        let message = format!("{}: not a ticket: {cause}; see docs/OPERATIONS.md", path.display());
+    let ticket = Ticket::from_json(&bytes).map_err(|error| {
+        let message = format!("{}: {error}; see docs/OPERATIONS.md", path.display());
         Error::InvalidInput { message }
     })?;
     let query = if args.dry_run { "?dry_run=true" } else { "" };
--- a/src/connection_end.rs
+++ b/src/connection_end.rs
@@ -1,6 +1,7 @@
 //! The end of a listener, and of the connections that it has taken, without the loss of a request.
 
 use crate::inbound::InboundStream;
+use crate::listener::MAX_BACKLOG;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
@@ -11,8 +12,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// The most connections that the kernel keeps for a listener.
-const MAX_BACKLOG: usize = 4_096;
 /// How long the head of a request may take that is on its way when a connection is to end.
 const LAST_HEAD_WAIT: Duration = Duration::from_millis(100);
 
@@ -27,7 +26,7 @@
         }
     };
     let mut streams = Vec::new();
-    while streams.len() < MAX_BACKLOG {
+    while streams.len() < usize::from(MAX_BACKLOG) {
         let accepted = listener.accept().and_then(|(stream, _)| {
             stream.set_nonblocking(true)?;
             TcpStream::from_std(stream)
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -147,6 +147,9 @@
 
     pub(super) fn tick_leader(&mut self) {
         self.expire_transfer();
+        if self.is_disk_stalled() {
+            self.transfer_leadership();
+        }
         let last_contact = self.quorum_contact().max(self.leader_contact);
         if last_contact.is_some_and(|at| self.now > at + self.timing.election_timeout * 2) {
             self.become_follower(self.hard_state.term, None);
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -19,6 +19,7 @@
 mod replication;
 mod snapshot_chunk;
 mod timing;
+mod write_queue;
 
 pub use entry::{Entry, HardState, Payload, Snapshot};
 pub use log::Log;
@@ -29,3 +30,5 @@
 pub use raft::{LeadershipTransfer, ProposeError, Raft, Role};
 pub use snapshot_chunk::SnapshotChunk;
 pub use timing::Timing;
+pub use write_queue::WriteNumber;
+use write_queue::WriteQueue;
--- a/src/consensus/output.rs
+++ b/src/consensus/output.rs
@@ -1,8 +1,9 @@
-use super::{Entry, HardState, Message, Snapshot};
+use super::{Entry, HardState, Message, Snapshot, WriteNumber};
 
-/// Work for the driver, to be done in this order: send `immediate`; write and sync `snapshot`,
-/// `hard_state` and `entries`; call [`super::Raft::on_persisted`] if anything was written; send
-/// `after_sync`; apply `committed`.
+/// Work for the driver: send `immediate` and apply `committed`; write and sync `snapshot`,
+/// `hard_state` and `entries`, then send `after_sync` and call [`super::Raft::on_persisted`]. The
+/// sync may take its time, while further outputs are taken; writes are synced in the order of the
+/// outputs.
 #[derive(Debug, Default)]
 pub struct Output {
     /// Messages that may be sent before anything is synced.
@@ -13,7 +14,10 @@
     pub hard_state: Option<HardState>,
     /// Entries to append to the log; the first one replaces all entries from its index on.
     pub entries: Vec<Entry>,
-    /// Messages that must not be sent before everything above is synced.
+    /// Number of the write; `None` if there is nothing to write.
+    pub write: Option<WriteNumber>,
+    /// Messages that must not be sent before everything above, and all of the outputs before, is
+    /// synced.
     pub after_sync: Vec<Message>,
     /// Newly committed entries, to be applied in order.
     pub committed: Vec<Entry>,
--- a/src/consensus/raft.rs
+++ b/src/consensus/raft.rs
@@ -1,7 +1,7 @@
 use super::snapshot_chunk::IncomingSnapshot;
 use super::{
     Entry, HardState, Log, MemberId, Members, Message, MessageBody, Output, Payload, Progress,
-    Snapshot, Timing,
+    Snapshot, Timing, WriteNumber, WriteQueue,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -79,6 +79,10 @@
 /// The default maximum size of a snapshot chunk.
 const DEFAULT_CHUNK_BYTES: usize = 256 << 10;
 
+/// Number of election timeouts after which a write that is not synced counts as a disk that has
+/// stalled for good: what is not written stays in memory, and the member should be replaced.
+const MAX_STALL_ELECTION_TIMEOUTS: u32 = 10;
+
 /// One member of a consensus group; see the [module documentation](super).
 #[derive(Debug)]
 pub struct Raft {
@@ -97,8 +101,10 @@
     pub(super) commit_index: u64,
     /// Index of the last committed entry passed to the driver to be applied.
     pub(super) delivered_index: u64,
-    /// Index of the last entry that is synced on this member.
-    pub(super) persisted_index: u64,
+    /// The writes that are under way, and what is synced on this member.
+    pub(super) writes: WriteQueue,
+    /// When this member last told the leader that it is heard, ahead of a sync.
+    pub(super) answered_at: Duration,
     /// When this member last heard from a valid leader, or last became the leader itself.
     pub(super) leader_contact: Option<Duration>,
     /// No votes or pre-votes are granted before this time, except in a leadership transfer.
@@ -137,7 +143,8 @@
             members_index,
             commit_index: snapshot_index,
             delivered_index: snapshot_index,
-            persisted_index: log.last_index(),
+            writes: WriteQueue::new(log.last_index()),
+            answered_at: Duration::ZERO,
             log,
             leader_contact: None,
             earliest_vote: now + timing.election_timeout,
@@ -298,25 +305,47 @@
     /// Takes the work that has accumulated for the driver since the last call.
     pub fn take_output(&mut self) -> Output {
         let mut output = std::mem::take(&mut self.output);
-        if output.hard_state.is_some() {
+        let hard_state = output.hard_state.is_some();
+        if output.needs_sync() {
+            output.write = Some(self.writes.push(self.now, self.log.last_index(), hard_state));
+        }
+        if self.writes.holds_hard_state() {
             // Other members must not see a term that a crash could still make this member forget.
             let after_sync = std::mem::take(&mut output.after_sync);
             output.after_sync = std::mem::take(&mut output.immediate);
             output.after_sync.extend(after_sync);
         }
-        if self.commit_index > self.delivered_index && output.snapshot.is_none() {
+        let deliverable = output.snapshot.is_none() && !self.writes.holds_hard_state();
+        if self.commit_index > self.delivered_index && deliverable {
             output.committed = self.log.range(self.delivered_index + 1, self.commit_index).to_vec();
             self.delivered_index = self.commit_index;
         }
         output
     }
 
-    /// Reports that everything in the last output is synced.
-    pub fn on_persisted(&mut self) {
-        self.persisted_index = self.log.last_index();
+    /// Reports that a write and all earlier ones are synced.
+    pub fn on_persisted(&mut self, write: WriteNumber) {
+        self.writes.complete(write);
         self.advance_commit();
     }
 
+    /// Whether every write that was taken is synced.
+    pub fn is_synced(&self) -> bool {
+        self.writes.is_empty()
+    }
+
+    /// Whether a write is under way for so long that this member hands leadership over and, as a
+    /// follower, falls silent.
+    pub fn is_disk_stalled(&self) -> bool {
+        let limit = self.timing.election_timeout * MAX_STALL_ELECTION_TIMEOUTS;
+        self.writes.oldest().is_some_and(|since| self.now > since + limit)
+    }
+
+    /// Index of the last entry of the log that is synced on this member.
+    pub fn persisted_index(&self) -> u64 {
+        self.writes.persisted_index()
+    }
+
     /// Builds a snapshot from `data`, the state after applying the entry at `index`. Panics if that
     /// entry is not in the log.
     pub fn snapshot_at(&self, index: u64, data: bytes::Bytes) -> Snapshot {
@@ -335,14 +364,27 @@
 
     pub(super) fn send(&mut self, to: MemberId, term: u64, body: MessageBody) {
         let message = Message { from: self.id, to, term, body };
-        // A leader may send entries before its own copy is synced. Responses and vote requests
-        // depend on synced state and have to wait.
-        match &message.body {
+        match self.needs_synced_state(&message.body) {
+            true => self.output.after_sync.push(message),
+            false => self.output.immediate.push(message),
+        }
+    }
+
+    /// Whether a message promises more than the term, which [`Self::take_output`] looks after. A
+    /// leader may send entries before its own copy is synced.
+    fn needs_synced_state(&self, body: &MessageBody) -> bool {
+        match body {
+            MessageBody::RequestVote { .. } => true,
+            MessageBody::VoteResponse { granted } => *granted,
+            MessageBody::AppendResponse { accepted, index, .. } => {
+                *accepted && *index > self.persisted_index()
+            }
             MessageBody::AppendEntries { .. }
             | MessageBody::InstallSnapshot { .. }
+            | MessageBody::InstallResponse { .. }
             | MessageBody::RequestPreVote { .. }
-            | MessageBody::TimeoutNow => self.output.immediate.push(message),
-            _ => self.output.after_sync.push(message),
+            | MessageBody::PreVoteResponse { .. }
+            | MessageBody::TimeoutNow => false,
         }
     }
 
--- a/src/consensus/replication.rs
+++ b/src/consensus/replication.rs
@@ -124,10 +124,24 @@
         let last = prev_index + entries.len() as u64;
         self.append_from_leader(entries);
         self.commit_index = self.commit_index.max(leader_commit.min(last));
+        self.answer_before_sync(from, last, sent_at);
         let body = MessageBody::AppendResponse { accepted: true, index: last, sent_at };
         self.send(from, self.hard_state.term, body);
     }
 
+    /// While entries wait for their sync, tells the leader now and then that it is heard, and
+    /// acknowledges only what is synced.
+    fn answer_before_sync(&mut self, to: MemberId, last: u64, sent_at: Duration) {
+        let index = self.persisted_index();
+        let recent = self.now < self.answered_at + self.timing.heartbeat_interval / 2;
+        if last <= index || recent || self.is_disk_stalled() {
+            return;
+        }
+        self.answered_at = self.now;
+        let body = MessageBody::AppendResponse { accepted: true, index, sent_at };
+        self.send(to, self.hard_state.term, body);
+    }
+
     /// Follows the sender if its term is current and returns true. If it is stale, rejects the
     /// message with this member's term and returns false.
     fn accept_leader(&mut self, from: MemberId, term: u64, sent_at: Duration) -> bool {
@@ -177,7 +191,7 @@
     fn truncate(&mut self, from: u64) {
         assert!(from > self.commit_index, "a committed entry must not be replaced");
         self.log.truncate(from);
-        self.persisted_index = self.persisted_index.min(from - 1);
+        self.writes.truncate(from);
         self.output.entries.retain(|entry| entry.index < from);
         let (index, members) = self.log.members_at(from - 1);
         self.members = members.clone();
@@ -256,9 +270,10 @@
     }
 
     fn install_snapshot(&mut self, snapshot: Snapshot) {
+        // What is on disk behind the committed entries may differ from what the snapshot covers.
+        self.writes.truncate(self.commit_index + 1);
         self.commit_index = snapshot.index;
         self.delivered_index = snapshot.index;
-        self.persisted_index = snapshot.index;
         self.members = snapshot.members.clone();
         self.members_index = snapshot.index;
         self.log.reset(snapshot.clone());
@@ -271,7 +286,7 @@
     pub(super) fn advance_commit(&mut self) {
         let Role::Leader { peers, .. } = &self.role else { return };
         let match_index = |id: MemberId| match id == self.id {
-            true => self.persisted_index,
+            true => self.persisted_index(),
             false => peers.get(&id).map_or(0, |p| p.match_index),
         };
         let mut indexes: Vec<_> = self.members.voters.iter().map(|m| match_index(m.id)).collect();
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,5 +1,7 @@
-use super::{PoolRollout, Rollout, RouteTable, StatsSummaryChange, Ticket, TicketAnswer};
-use crate::name::VersionKey;
+use super::{
+    PoolRollout, RegionRules, Rollout, RouteTable, StatsSummaryChange, Ticket, TicketAnswer,
+};
+use crate::name::{DataCentre, VersionKey};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -56,6 +58,13 @@
     },
     /// Lets a request through again.
     ClearRequest(u64),
+    /// Keeps calls from the servers of a data centre, unless that is so already.
+    BeginEvacuation(DataCentre),
+    /// Lets calls to the servers of a data centre through again, unless that is so already.
+    FinishEvacuation(DataCentre),
+    /// As [`ControlCommand::ReplaceRouteTable`], with rules on where calls on its routes may be
+    /// served.
+    ReplaceTableInRegions(Arc<RouteTable>, Arc<RegionRules>),
 }
 
 /// The result of applying a [`ControlCommand`].
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -1,7 +1,11 @@
-use super::{KeyHash, Model, Organisation, PoolRollout, Rollout, RouteTable, Service, Version};
-use crate::name::{ModelName, OrganisationName, PoolName, RolloutName, ServiceName, VersionKey};
+use super::{
+    KeyHash, Model, Organisation, PoolRollout, RegionRules, Rollout, RouteTable, Service, Version,
+};
+use crate::name::{
+    DataCentre, ModelName, OrganisationName, PoolName, RolloutName, ServiceName, VersionKey,
+};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// One revision of the configuration that routers apply.
@@ -23,6 +27,13 @@
     pub route_table: Option<Arc<RouteTable>>,
     /// The newest roll-out of each pool.
     pub pool_rollouts: BTreeMap<PoolName, PoolRollout>,
+    /// Data centres whose servers get no calls. Not part of the encoding, which earlier builds read: see
+    /// [`crate::group::ReplicatedState::snapshot`] and [`crate::distribution::ConfigEntry`].
+    #[serde(skip)]
+    pub evacuated: BTreeSet<DataCentre>,
+    /// Where calls on the routes of the route table may be served. Not part of the encoding either.
+    #[serde(skip)]
+    pub region_rules: Arc<RegionRules>,
 }
 
 impl Config {
@@ -41,6 +52,19 @@
         found
     }
 
+    /// Whether the servers of a data centre get no calls.
+    ///
+    /// ```
+    /// use samphireshift::control::Config;
+    /// use samphireshift::name::DataCentre;
+    /// let (north, south) = (DataCentre::new("north"), DataCentre::new("south"));
+    /// let config = Config { evacuated: [north.clone()].into(), ..Config::default() };
+    /// assert!(config.is_evacuated(&north) && !config.is_evacuated(&south));
+    /// ```
+    pub fn is_evacuated(&self, data_centre: &DataCentre) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
     /// Versions that an organisation may use, in any state, ordered by key.
     pub fn versions_for<'a>(
         &'a self,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod pool_rollout;
 mod pool_spec;
 mod pool_versions;
+mod region_rules;
 mod rollout;
 mod route_organisation;
 mod route_table;
@@ -43,6 +44,7 @@
 pub use pool_rollout::{PoolRollout, PoolRolloutStatus};
 pub use pool_spec::{EngineSpec, PoolSpec, PricedModel};
 pub use pool_versions::PoolVersions;
+pub use region_rules::{AllowedRegions, RegionRules, RegionScope};
 pub use rollout::{Rollout, RolloutStatus};
 pub use route_organisation::RouteOrganisation;
 pub use route_table::RouteTable;
@@ -50,6 +52,8 @@
 pub use state::ControlState;
 pub use stats_summary::{LastReport, MAX_STAT_KEYS, StatsSummary, StatsSummaryChange};
 pub use suspect::Suspect;
-pub use ticket::{ObjectName, Ticket, TicketAnswer, TicketDigest, TicketRecord, TicketRefusal};
+pub use ticket::{
+    ObjectName, Ticket, TicketAnswer, TicketDigest, TicketFormatError, TicketRecord, TicketRefusal,
+};
 pub use ticket_history::MAX_TICKET_RECORDS;
 pub use version::{Price, Version, VersionState};
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,12 +1,12 @@
 use super::ticket_history::TicketHistory;
 use super::{
     BlockedParts, Config, ControlCommand, ControlOutcome, ObjectName, PoolRollout, PoolVersions,
-    Rollout, RouteTable, StatsSummary, Suspect, Ticket, TicketAnswer, TicketRecord, TicketRefusal,
-    VersionState, validate,
+    RegionRules, Rollout, RouteTable, StatsSummary, Suspect, Ticket, TicketAnswer, TicketRecord,
+    TicketRefusal, VersionState, validate,
 };
-use crate::name::{PoolName, VersionKey, VersionName};
+use crate::name::{DataCentre, PoolName, VersionKey, VersionName};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// The control group's replicated state machine. It is deterministic: applying the same commands in
@@ -29,6 +29,9 @@
     /// Not part of that encoding either.
     #[serde(skip)]
     pub(crate) pool_versions: BTreeMap<PoolName, PoolVersions>,
+    /// Data centres that operators have ever ordered to evacuate or to take back. Not part of it either.
+    #[serde(skip)]
+    pub(crate) ordered_centres: BTreeSet<DataCentre>,
 }
 
 impl ControlState {
@@ -67,6 +70,22 @@
         &self.pool_versions
     }
 
+    /// Data centres that operators have ever ordered to evacuate or to take back. An order that was accepted
+    /// once is known by them, even after the last VM of its data centre is gone.
+    pub fn ordered_centres(&self) -> &BTreeSet<DataCentre> {
+        &self.ordered_centres
+    }
+
+    /// Replaces the data centres that are evacuated, as restored from a snapshot.
+    pub(crate) fn restore_evacuated(&mut self, evacuated: BTreeSet<DataCentre>) {
+        Arc::make_mut(&mut self.config).evacuated = evacuated;
+    }
+
+    /// Replaces the rules on regions, as restored from a snapshot.
+    pub(crate) fn restore_region_rules(&mut self, rules: RegionRules) {
+        Arc::make_mut(&mut self.config).region_rules = Arc::new(rules);
+    }
+
     /// Whether servers of a pool's version may get calls, by all of its roll-outs; `None` for servers
     /// without a version.
     pub fn allows_version(&self, pool: &PoolName, version: Option<&VersionName>) -> bool {
@@ -99,7 +118,12 @@
                 self.summary.apply(change);
                 ControlOutcome::Unchanged
             }
-            ControlCommand::ReplaceRouteTable(table) => self.replace_route_table(table),
+            ControlCommand::ReplaceRouteTable(table) => {
+                self.replace_route_table(table, Arc::default())
+            }
+            ControlCommand::ReplaceTableInRegions(table, rules) => {
+                self.replace_route_table(table, rules)
+            }
             ControlCommand::StartPoolRollout(rollout) => self.start_pool_rollout(rollout),
             ControlCommand::AdvancePoolRollout { before, after } => {
                 self.advance_pool_rollout(&before, after)
@@ -120,6 +144,8 @@
                 self.blocked_parts.clear(Suspect::Request(request));
                 ControlOutcome::Unchanged
             }
+            ControlCommand::BeginEvacuation(data_centre) => self.evacuate(data_centre, true),
+            ControlCommand::FinishEvacuation(data_centre) => self.evacuate(data_centre, false),
         }
     }
 
@@ -208,13 +234,18 @@
         self.install(next)
     }
 
-    fn replace_route_table(&mut self, table: Arc<RouteTable>) -> ControlOutcome {
+    fn replace_route_table(
+        &mut self,
+        table: Arc<RouteTable>,
+        rules: Arc<RegionRules>,
+    ) -> ControlOutcome {
         let current = self.config.route_table.as_ref();
         if current.is_some_and(|current| current.number >= table.number) {
             return ControlOutcome::Unchanged;
         }
         let mut next = Config::clone(&self.config);
         next.route_table = Some(table);
+        next.region_rules = rules;
         self.install(next)
     }
 
@@ -239,6 +270,19 @@
         self.install(next)
     }
 
+    fn evacuate(&mut self, data_centre: DataCentre, begin: bool) -> ControlOutcome {
+        self.ordered_centres.insert(data_centre.clone());
+        if self.config.is_evacuated(&data_centre) == begin {
+            return ControlOutcome::Unchanged;
+        }
+        let mut next = Config::clone(&self.config);
+        match begin {
+            true => next.evacuated.insert(data_centre),
+            false => next.evacuated.remove(&data_centre),
+        };
+        self.install(next)
+    }
+
     fn install(&mut self, mut next: Config) -> ControlOutcome {
         next.revision += 1;
         let revision = next.revision;
--- a/src/control/ticket.rs
+++ b/src/control/ticket.rs
@@ -65,7 +65,41 @@
     }
 }
 
+/// Why a text is not a ticket.
+#[derive(Debug, Error)]
+pub enum TicketFormatError {
+    /// It is not the JSON of a ticket.
+    #[error("not a ticket: {0}")]
+    Json(serde_json::Error),
+    /// It names regions; calls under tickets can't be kept in any.
+    #[error(
+        "not a ticket: {0}; calls under tickets can't be kept in regions, only those of routers and \
+         their route table"
+    )]
+    Regions(serde_json::Error),
+}
+
 impl Ticket {
+    /// Reads a ticket from JSON; a field that is not known is refused and not ignored.
+    ///
+    /// # Errors
+    /// If the text is not the JSON of a ticket.
+    ///
+    /// ```
+    /// use samphireshift::control::Ticket;
+    /// assert_eq!(Ticket::from_json(br#"{ "number": 1, "author": "a" }"#).unwrap().number, 1);
+    /// ```
+    pub fn from_json(bytes: &[u8]) -> Result<Self, TicketFormatError> {
+        serde_json::from_slice(bytes).map_err(|cause| {
+            // serde_json tells an unknown field in its message only.
+            let names_regions = cause.to_string().contains("unknown field `allowed_regions`");
+            match names_regions {
+                true => TicketFormatError::Regions(cause),
+                false => TicketFormatError::Json(cause),
+            }
+        })
+    }
+
     /// The digest of the contents, which together with the number identifies the ticket.
     pub fn digest(&self) -> TicketDigest {
         let bytes = postcard::to_stdvec(self).expect("tickets always serialise");
--- a/src/daemon/deadly_parts.rs
+++ b/src/daemon/deadly_parts.rs
@@ -148,6 +148,11 @@
             Suspect::Part(_) => ProtocolVersion::DEADLY_PARTS,
             Suspect::Request(_) => ProtocolVersion::DEADLY_REQUESTS,
         };
+        self.has_voter_before(needed)
+    }
+
+    /// Whether a voter was last heard of with an earlier protocol version.
+    pub(super) fn has_voter_before(&self, needed: ProtocolVersion) -> bool {
         let older = self.cluster.peers().members_before(needed);
         let members = self.cluster.control().status().members;
         members.all().any(|member| older.contains(&member.id))
--- a/src/daemon/helpers.rs
+++ b/src/daemon/helpers.rs
@@ -46,6 +46,12 @@
         inner.places.insert(router, Place { data_centre, address, takes_calls: false });
     }
 
+    /// Whether a daemon that has connected is in a data centre.
+    pub fn has_daemon_in(&self, data_centre: &DataCentre) -> bool {
+        let inner = self.inner.lock().expect("helpers lock");
+        inner.places.values().any(|place| place.data_centre == *data_centre)
+    }
+
     /// Records that a daemon is of role router.
     pub fn record_router(&self, router: &RouterId) {
         let mut inner = self.inner.lock().expect("helpers lock");
--- a/src/daemon/leader_leases.rs
+++ b/src/daemon/leader_leases.rs
@@ -8,7 +8,7 @@
 use crate::control::{Config, LeaseTable, RouterId};
 use crate::group::since_start;
 use crate::name::VmName;
-use crate::peer::{LeaseRequest, LeaseResponse, PoolUpdate};
+use crate::peer::{LeaseRequest, LeaseResponse, PoolUpdate, ProtocolVersion};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -56,6 +56,34 @@
         }
     }
 
+    /// Grants a lease to a router of another daemon, as [`Self::grant_lease`] does. While data centres are
+    /// evacuated, builds that would work on there get none; the others learn which ones they are.
+    pub(super) async fn grant_lease_to(
+        &self,
+        request: LeaseRequest,
+        version: ProtocolVersion,
+    ) -> LeaseResponse {
+        let refusal =
+            || LeaseResponse::NotLeader { leader: self.leader(), address: self.leader_address() };
+        let is_older = version < ProtocolVersion::EVACUATIONS;
+        let evacuated = || self.read_control(|state| state.config().evacuated.clone());
+        // A lease that is recorded and not granted would hold up changes.
+        if is_older && !evacuated().is_empty() {
+            self.log_refusal(&request.router, ProtocolVersion::EVACUATIONS);
+            return refusal();
+        }
+        let granted = self.grant_lease(request).await;
+        // Read after the configuration of the grant was: it may be of a later one, never of an earlier one.
+        let evacuated = evacuated();
+        match (evacuated.is_empty(), is_older) {
+            (true, _) => granted,
+            (false, true) => refusal(),
+            (false, false) => {
+                LeaseResponse::GrantedInEvacuation { granted: Box::new(granted), evacuated }
+            }
+        }
+    }
+
     /// The current configuration as routers hold it.
     fn published_config(&self) -> Arc<Config> {
         let config = self.read_control(|state| state.config().clone());
--- a/src/daemon/leader_question.rs
+++ b/src/daemon/leader_question.rs
@@ -1,7 +1,7 @@
 use super::{NoAnswer, Node};
 use crate::group::GroupId;
 use crate::name::VmName;
-use crate::peer::{Askable, OperatorRequest, OperatorResponse};
+use crate::peer::{Askable, OperatorRequest, OperatorResponse, ProtocolVersion};
 use futures::future::{BoxFuture, FutureExt};
 use futures::stream::{FuturesUnordered, StreamExt};
 use std::collections::BTreeMap;
@@ -112,7 +112,12 @@
         if self.waits_for_change(&all) {
             return false;
         }
-        let not_open = all.into_iter().filter(|askable| !self.open.contains(&askable.vm));
+        let needed = needed_version(&self.request);
+        let is_askable = |askable: &Askable| {
+            let version = node.cluster.peers().version_of(&askable.vm);
+            !self.open.contains(&askable.vm) && version.is_none_or(|version| version >= needed)
+        };
+        let not_open = all.into_iter().filter(is_askable);
         let Some(next) = not_open.min_by_key(|askable| self.rank(askable)) else { return false };
         let (vm, client, request) = (next.vm, next.client, self.request.clone());
         let mut context = context::current();
@@ -226,12 +231,27 @@
     }
 }
 
+/// The first version of daemons that can read a request.
+fn needed_version(request: &OperatorRequest) -> ProtocolVersion {
+    match request {
+        OperatorRequest::ReplaceTableInRegions(..) => ProtocolVersion::REGIONS,
+        OperatorRequest::AtLedger(..) => ProtocolVersion::LEDGER_READS,
+        OperatorRequest::BeginEvacuation(_)
+        | OperatorRequest::FinishEvacuation(_)
+        | OperatorRequest::Evacuations => ProtocolVersion::EVACUATIONS,
+        _ => ProtocolVersion::FIRST,
+    }
+}
+
 fn is_change(request: &OperatorRequest) -> bool {
     match request {
         OperatorRequest::ApplyTicket { dry_run, .. } => !dry_run,
         OperatorRequest::ReplaceRouteTable(_)
+        | OperatorRequest::ReplaceTableInRegions(..)
         | OperatorRequest::StartPoolRollout(_)
-        | OperatorRequest::ClearPart(_) => true,
+        | OperatorRequest::ClearPart(_)
+        | OperatorRequest::BeginEvacuation(_)
+        | OperatorRequest::FinishEvacuation(_) => true,
         _ => false,
     }
 }
--- a/src/daemon/lease_renewal.rs
+++ b/src/daemon/lease_renewal.rs
@@ -38,7 +38,8 @@
                 node.cluster.set_leader_hint(GroupId::Control, leader);
                 false
             }
-            None => {
+            // It is taken apart as it arrives.
+            Some(LeaseResponse::GrantedInEvacuation { .. }) | None => {
                 node.cluster.set_leader_hint(GroupId::Control, None);
                 false
             }
@@ -68,7 +69,7 @@
     let client = node.cluster.leader_client(GroupId::Control, attempt)?;
     let mut context = context::current();
     context.deadline = Instant::now() + node.settings.renewal_interval + RESPONSE_MARGIN;
-    client.lease(context, ask).await.ok()
+    client.lease(context, ask).await.ok().map(LeaseResponse::with_evacuations)
 }
 
 fn record_lease_change(node: &Node, router: &Router, had_lease: bool) -> bool {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,8 +1,11 @@
 //! The daemon process: startup, shutdown, the server for other daemons, and the background tasks of
 //! routers and leaders.
 
+mod bills;
+mod connection_parts;
 mod deadly_parts;
 mod departures;
+mod evacuations;
 mod group_health;
 mod health_watch;
 mod helpers;
@@ -19,6 +22,7 @@
 mod orders;
 mod peer_server;
 mod pool_rollouts;
+mod refused_routers;
 mod renewals;
 mod rollouts;
 mod router_reports;
@@ -35,5 +39,6 @@
 pub use membership_plan::{KnownVm, MembershipStep, MembershipView, voter_heard};
 pub use no_answer::NoAnswer;
 pub use node::Node;
+pub use refused_routers::RefusedRouters;
 pub use start::run;
 pub use voter::run_voter;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,8 +1,10 @@
+use super::connection_parts::LeaderConnections;
 use super::deadly_parts::LeaderParts;
 use super::departures::LeaderDepartures;
 use super::helpers::LeaderHelpers;
 use super::leader_leases::LeaderLeases;
 use super::leader_pools::LeaderPools;
+use super::refused_routers::RefusedRouters;
 use super::server_limits::LeaderLimits;
 use crate::consensus::{Member, Members};
 use crate::distribution::Publisher;
@@ -44,8 +46,12 @@
     pub parts: LeaderParts,
     /// The limits that servers name, and the tokens for them, which the leader gives out.
     pub limits: LeaderLimits,
+    /// The parts of the connections that servers accept, which the leader gives out.
+    pub connections: LeaderConnections,
     /// Where routers are, and which of them do not reach the servers.
     pub helpers: LeaderHelpers,
+    /// Routers of earlier builds that get no lease.
+    pub refused: RefusedRouters,
     /// The voters that have said that they leave.
     pub departures: LeaderDepartures,
     /// The configuration and the VM list as distributed to routers.
--- a/src/daemon/operator_requests.rs
+++ b/src/daemon/operator_requests.rs
@@ -2,15 +2,14 @@
 
 use super::leader_question::{LeaderQuestion, Patience, leader_wait};
 use super::{NoAnswer, Node};
-use crate::control::{ControlCommand, ControlOutcome, RouteTable, Suspect, Ticket, TicketAnswer};
+use crate::control::{
+    ControlCommand, ControlOutcome, RegionRules, RouteTable, Suspect, Ticket, TicketAnswer,
+};
 use crate::event::Event;
-use crate::group::ReplicatedState;
 use crate::group::since_start;
-use crate::ledger::{Bill, BillSum, LedgerState};
-use crate::name::{OrganisationName, PoolName, VmName};
-use crate::peer::{OperatorRequest, OperatorResponse};
+use crate::name::{PoolName, VmName};
+use crate::peer::{OperatorRequest, OperatorResponse, ProtocolVersion};
 use crate::settings::Settings;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,7 +17,7 @@
 const LEADER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time for a change to be committed and accepted in one request to the leader; then the request is
 /// made again. Shorter than the time for which callers of the API wait.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const ACCEPT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum wait in one request to the leader; longer waits for a revision to be in force are split.
 const MAX_WAIT_PER_REQUEST: Duration = Duration::from_secs(1);
 /// Time after the election of the first leader in which changes require the target number of
@@ -58,10 +57,11 @@
     }
 
     /// Handles a request as leader. Leadership is checked after the request has been processed, so
-    /// the response is not stale.
+    /// the response is not stale; a request to a ledger group's leader checks that one's.
     pub async fn handle_request(&self, request: OperatorRequest) -> OperatorResponse {
+        let is_of_ledger = matches!(request, OperatorRequest::AtLedger(..));
         let response = self.dispatch_request(request).await;
-        match self.cluster.control().may_serve_reads() {
+        match is_of_ledger || self.cluster.control().may_serve_reads() {
             true => response,
             false => OperatorResponse::NotLeader { leader: self.leader() },
         }
@@ -94,11 +94,15 @@
                 OperatorResponse::Config(self.read_control(|state| state.config().clone()))
             }
             OperatorRequest::Evidence => OperatorResponse::Evidence(self.evidence()),
-            OperatorRequest::BillSums => OperatorResponse::BillSums(self.bill_sums()),
-            OperatorRequest::Bills(organisation) => {
-                OperatorResponse::Bills(self.bills(&organisation))
+            OperatorRequest::BillSums => self.bill_sums().await,
+            OperatorRequest::Bills(organisation) => self.bills(organisation).await,
+            OperatorRequest::AtLedger(group, request) => self.read_bills(group, &request),
+            OperatorRequest::ReplaceRouteTable(table) => {
+                self.replace_route_table(table, Arc::default()).await
+            }
+            OperatorRequest::ReplaceTableInRegions(table, rules) => {
+                self.replace_route_table(table, rules).await
             }
-            OperatorRequest::ReplaceRouteTable(table) => self.replace_route_table(table).await,
             OperatorRequest::RouteTable => OperatorResponse::RouteTable(
                 self.read_control(|state| state.config().route_table.clone()),
             ),
@@ -124,6 +128,15 @@
                 }
                 None => OperatorResponse::UnknownPart,
             },
+            OperatorRequest::BeginEvacuation(data_centre) => {
+                self.begin_evacuation(data_centre).await
+            }
+            OperatorRequest::FinishEvacuation(data_centre) => {
+                self.finish_evacuation(data_centre).await
+            }
+            OperatorRequest::Evacuations => OperatorResponse::Evacuations(
+                self.read_control(|state| state.config().evacuated.clone()),
+            ),
             OperatorRequest::LiveRouters => match self.live_routers() {
                 Some(live) => OperatorResponse::LiveRouters(live),
                 None => OperatorResponse::NotLeader { leader: self.leader() },
@@ -158,7 +171,7 @@
     }
 
     /// Commits an idempotent command.
-    async fn commit(&self, command: ControlCommand) -> OperatorResponse {
+    pub(super) async fn commit(&self, command: ControlCommand) -> OperatorResponse {
         if self.is_forming() {
             return OperatorResponse::TooFewVoters;
         }
@@ -183,7 +196,11 @@
 
     /// Commits a route table, and waits until the routers without it stop soon enough for the bound
     /// on its application. An operator who gets `OutcomeUnknown` asks again.
-    async fn replace_route_table(&self, table: Arc<RouteTable>) -> OperatorResponse {
+    async fn replace_route_table(
+        &self,
+        table: Arc<RouteTable>,
+        rules: Arc<RegionRules>,
+    ) -> OperatorResponse {
         let deadline = Instant::now() + ACCEPT_TIMEOUT;
         let number = table.number;
         let is_stored = self.read_control(|state| {
@@ -191,18 +208,40 @@
             stored.is_some_and(|stored| stored.number >= number)
         });
         if !is_stored {
-            let committed = self.commit(ControlCommand::ReplaceRouteTable(table)).await;
+            if !rules.is_empty() && self.has_voter_before(ProtocolVersion::REGIONS) {
+                log::warn!(
+                    "route table {number}: a voter of an earlier build cannot read its regions; \
+                     upgrade it"
+                );
+                return OperatorResponse::OutcomeUnknown;
+            }
+            let command = match rules.is_empty() {
+                true => ControlCommand::ReplaceRouteTable(table),
+                false => ControlCommand::ReplaceTableInRegions(table, rules),
+            };
+            let committed = self.commit(command).await;
             if !matches!(committed, OperatorResponse::Committed) {
                 return committed;
             }
         }
-        let revision = self.read_control(|state| state.config().revision);
         let lag = self.settings.fleet_limits.max_lag();
+        self.accept_change(&format!("route table {number}"), lag, deadline).await
+    }
+
+    /// Accepts a change that is committed, once no router works without it for longer than `lag`. An operator
+    /// who gets `OutcomeUnknown` asks again.
+    pub(super) async fn accept_change(
+        &self,
+        what: &str,
+        lag: Duration,
+        deadline: Instant,
+    ) -> OperatorResponse {
+        let revision = self.read_control(|state| state.config().revision);
         let wait = deadline.saturating_duration_since(Instant::now());
         match self.await_in_force(revision, lag, wait).await {
             Some((true, _)) => OperatorResponse::Committed,
             Some((false, lagging)) => {
-                log::info!("route table {number} is not accepted yet: {}", describe_lag(&lagging));
+                log::info!("{what} is not accepted yet: {}", describe_lag(&lagging));
                 OperatorResponse::OutcomeUnknown
             }
             None => OperatorResponse::NotLeader { leader: self.leader() },
@@ -252,49 +291,22 @@
             self.journal.record(Event::TicketInForce { ticket, revision });
         }
     }
-
-    fn bill_sums(&self) -> Vec<(OrganisationName, BillSum)> {
-        let mut sums: BTreeMap<OrganisationName, BillSum> = BTreeMap::new();
-        self.for_each_ledger(|state| {
-            for (name, sum) in state.bill_sums() {
-                let total = sums.entry(name.clone()).or_default();
-                total.count += sum.count;
-                total.prompt_tokens += sum.prompt_tokens;
-                total.answer_tokens += sum.answer_tokens;
-                total.cost += sum.cost;
-            }
-        });
-        sums.into_iter().collect()
-    }
-
-    fn bills(&self, organisation: &OrganisationName) -> Vec<Bill> {
-        let mut bills = Vec::new();
-        self.for_each_ledger(|state| bills.extend(state.bills(organisation).cloned()));
-        bills
-    }
-
-    fn for_each_ledger<F>(&self, mut read: F)
-    where
-        F: FnMut(&LedgerState),
-    {
-        for group in self.cluster.groups() {
-            group.read(|state| match state {
-                ReplicatedState::Ledger(state) => read(state),
-                ReplicatedState::Control(_) => {}
-            });
-        }
-    }
 }
 
 /// What a command does, for logs.
 fn describe(command: &ControlCommand) -> String {
     match command {
-        ControlCommand::ReplaceRouteTable(table) => {
+        ControlCommand::ReplaceRouteTable(table)
+        | ControlCommand::ReplaceTableInRegions(table, _) => {
             format!("route table {} with {} routes", table.number, table.routes.len())
         }
         ControlCommand::StartPoolRollout(rollout) => {
             format!("roll-out of pool {} to {}", rollout.pool, rollout.target)
         }
+        ControlCommand::BeginEvacuation(centre) => format!("evacuation of data centre {centre}"),
+        ControlCommand::FinishEvacuation(centre) => {
+            format!("end of the evacuation of data centre {centre}")
+        }
         ControlCommand::ClearPart(part) => format!("clearing of part {part:x} of prompts"),
         ControlCommand::ClearRequest(request) => format!("clearing of request {request:x}"),
         _ => "a change".to_owned(),
--- a/src/daemon/peer_server.rs
+++ b/src/daemon/peer_server.rs
@@ -4,9 +4,10 @@
 use crate::event::{Event, EventQuery};
 use crate::group::{Envelope, GroupId};
 use crate::peer::{
-    DepartureRequest, DepartureResponse, EventResponse, Greeting, HealthView, HelperRequest,
-    HelperResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
-    OperatorRequest, OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec,
+    ColdReport, ColdResponse, ConnectionReport, ConnectionResponse, DepartureRequest,
+    DepartureResponse, EventResponse, Greeting, HealthView, HelperRequest, HelperResponse,
+    LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus, OperatorRequest,
+    OperatorResponse, PartReport, PartResponse, Peer, PeerIdentity, PostcardCodec, ProtocolVersion,
     RenewRequest, RenewResponse, SubmitResponse, SuspectReport, SuspectResponse, accept,
 };
 use bytes::Bytes;
@@ -16,9 +17,9 @@
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Implementation of the RPC service on the state of this daemon.
+/// Implementation of the RPC service on the state of this daemon, for a daemon of this version.
 #[derive(Clone)]
-struct PeerServer(Arc<Node>);
+struct PeerServer(Arc<Node>, ProtocolVersion);
 
 impl Peer for PeerServer {
     async fn ping(self, _: Context) -> PeerIdentity {
@@ -52,14 +53,14 @@
             let (leader, address) = (self.0.leader(), self.0.leader_address());
             return LeaseResponse::NotLeader { leader, address };
         }
-        self.0.grant_lease(request).await
+        self.0.grant_lease_to(request, self.1).await
     }
 
     async fn renew(self, _: Context, request: RenewRequest) -> RenewResponse {
         if !self.0.cluster.control().status().leading {
             return RenewResponse::NotLeader { address: self.0.leader_address() };
         }
-        self.0.renew(request).await
+        self.0.renew(request, self.1).await
     }
 
     async fn share_parts(self, _: Context, report: PartReport) -> PartResponse {
@@ -83,6 +84,14 @@
         self.0.share_limits(report).await
     }
 
+    async fn share_cold(self, _: Context, report: ColdReport) -> ColdResponse {
+        self.0.share_cold(&report)
+    }
+
+    async fn share_connections(self, _: Context, report: ConnectionReport) -> ConnectionResponse {
+        self.0.share_connections(&report)
+    }
+
     async fn find_helpers(self, _: Context, request: HelperRequest) -> HelperResponse {
         self.0.find_helpers(&request)
     }
@@ -102,7 +111,8 @@
     }
 
     async fn operate(self, _: Context, request: OperatorRequest) -> OperatorResponse {
-        if !self.0.cluster.control().status().leading {
+        let is_for_control = !matches!(request, OperatorRequest::AtLedger(..));
+        if is_for_control && !self.0.cluster.control().status().leading {
             return OperatorResponse::NotLeader { leader: self.0.leader() };
         }
         self.0.handle_request(request).await
@@ -134,19 +144,20 @@
 
 async fn serve_peer(node: Arc<Node>, stream: TcpStream) {
     let own = node.identity();
-    let framed = match accept(stream, &node.settings.cluster_secret, &own).await {
-        Ok((framed, peer)) => {
-            node.on_peer_connected(&peer);
-            framed
+    let peer = match accept(stream, &node.settings.cluster_secret, &own).await {
+        Ok(peer) => {
+            node.on_peer_connected(&peer.identity);
+            peer
         }
         Err(error) => {
             node.journal.record(Event::PeerRefused { reason: error.to_string() });
             return;
         }
     };
-    let transport = tarpc::serde_transport::new(framed, PostcardCodec::new(node.journal.clone()));
+    let transport =
+        tarpc::serde_transport::new(peer.framed, PostcardCodec::new(node.journal.clone()));
     let channel = BaseChannel::with_defaults(transport);
-    let requests = channel.execute(PeerServer(node).serve());
+    let requests = channel.execute(PeerServer(node, peer.version).serve());
     requests
         .for_each(|response| async {
             let mut response = Box::pin(response);
--- a/src/daemon/renewals.rs
+++ b/src/daemon/renewals.rs
@@ -4,15 +4,15 @@
 use super::wait::wait_for_news;
 use crate::control::Config;
 use crate::distribution::{CHUNK_BYTES, Chunk, FIRST_CHUNK_BYTES};
-use crate::peer::{RenewRequest, RenewResponse};
+use crate::peer::{ProtocolVersion, RenewRequest, RenewResponse};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 impl Node {
     /// Renews a router's lease and sends the next part of the configuration and the VM list that it
     /// lacks. A router that has all of both gets its response when there is something new, or after
-    /// its renewal interval.
-    pub async fn renew(&self, request: RenewRequest) -> RenewResponse {
+    /// its renewal interval. Builds that cannot read the present configuration get no lease.
+    pub async fn renew(&self, request: RenewRequest, version: ProtocolVersion) -> RenewResponse {
         self.journal.observe(request.stamp);
         self.record_revision(&request.router, request.revision);
         self.helpers.record_router(&request.router);
@@ -22,7 +22,7 @@
         if request.wait {
             self.wait_for_news(&request).await;
         }
-        let (recorded, config, chunk) = self.next_part(&request);
+        let (recorded, config, chunk) = self.next_part(&request, version);
         // As in `grant_lease`, leadership is checked last.
         if !recorded || !self.cluster.control().may_serve_reads() {
             return RenewResponse::NotLeader { address: self.leader_address() };
@@ -40,11 +40,22 @@
 
     /// The current configuration, and the part of it that the router gets now. A router that then has
     /// all of it gets a lease, which is recorded; false if this daemon may not grant leases.
-    fn next_part(&self, request: &RenewRequest) -> (bool, Arc<Config>, Option<Chunk>) {
+    fn next_part(
+        &self,
+        request: &RenewRequest,
+        version: ProtocolVersion,
+    ) -> (bool, Arc<Config>, Option<Chunk>) {
         let limit = if request.revision == 0 { FIRST_CHUNK_BYTES } else { CHUNK_BYTES };
         loop {
             let config = self.publish_current();
-            let chunk = self.publisher.read_config_up_to(&request.config, limit);
+            let read = self.publisher.read_config_for(version, &request.config, limit);
+            let chunk = match read {
+                Ok(chunk) => chunk,
+                Err(needed) => {
+                    self.log_refusal(&request.router, needed);
+                    return (false, config, None);
+                }
+            };
             if chunk.as_ref().is_some_and(|chunk| !chunk.is_last()) {
                 return (self.record_revision(&request.router, request.revision), config, chunk);
             }
@@ -110,6 +121,8 @@
             versions = decided;
             node.install_vm_list();
         }
-        node.publish_current();
+        let config = node.publish_current();
+        let count = config.evacuated.len();
+        metrics::gauge!("samphireshift_evacuated_data_centres").set(count as f64);
     }
 }
--- a/src/daemon/server_limits.rs
+++ b/src/daemon/server_limits.rs
@@ -5,11 +5,11 @@
 use crate::control::RouterId;
 use crate::group::since_start;
 use crate::name::VmName;
-use crate::peer::{LimitReport, LimitResponse};
-use crate::policy::{SharedLimits, WarmingServers};
+use crate::peer::{ColdReport, ColdResponse, LimitReport, LimitResponse, WarmUpRateTable};
+use crate::policy::{SharedLimits, WarmingServers, Witness};
 use std::collections::{BTreeMap, HashSet};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -35,6 +35,8 @@
     changed: watch::Sender<u64>,
     /// Notified when a router asks for tokens.
     asked: Notify,
+    /// The rates of servers that are cold.
+    rates: Mutex<WarmUpRateTable>,
 }
 
 #[derive(Debug, Default)]
@@ -49,7 +51,7 @@
 impl Default for LeaderLimits {
     fn default() -> Self {
         let (changed, asked) = (watch::Sender::new(0), Notify::new());
-        Self { inner: Mutex::default(), changed, asked }
+        Self { inner: Mutex::default(), changed, asked, rates: Mutex::default() }
     }
 }
 
@@ -108,6 +110,32 @@
         }
     }
 
+    /// Sets the rates of servers that are cold, for routers that ask for them.
+    pub fn set_warm_up_rates(&self, rates: WarmUpRateTable) {
+        *self.limits.rates.lock().expect("rates lock") = rates;
+    }
+
+    /// Takes in which servers a router holds to be cold; all routers learn of it with their limits.
+    pub fn share_cold(&self, report: &ColdReport) -> ColdResponse {
+        if !self.cluster.control().may_serve_reads() {
+            return ColdResponse::NotLeader { address: self.leader_address() };
+        }
+        let (now, term) = (since_start(), self.cluster.control().status().term);
+        let (vm, data_centre) = (report.router.vm.clone(), report.data_centre.clone());
+        let witness = Witness { vm, data_centre };
+        let (is_news, place) = self.limits.update(term, |inner| {
+            let is_news = inner.limits.presume_cold(now, &witness, &report.servers);
+            (is_news, inner.limits.place(now, &report.router))
+        });
+        if is_news {
+            let (router, count) = (&report.router.vm, report.servers.len());
+            log::info!("router {router} tells of {count} servers that may be cold");
+        }
+        let rates = self.limits.rates.lock().expect("rates lock").clone();
+        let is_newer = rates.number.is_some() && rates.number != report.rates_of;
+        ColdResponse::Known { rates: is_newer.then_some(rates), place, time: common_time() }
+    }
+
     /// Counts a router's report, and answers once there are tokens for it or something that it does
     /// not know, or after a while.
     pub async fn share_limits(&self, report: LimitReport) -> LimitResponse {
@@ -145,6 +173,15 @@
     }
 }
 
+/// The time of day when this was first asked for, and the steady time since: it makes no leap while the
+/// process runs, and the next leader's is close to it.
+fn common_time() -> Duration {
+    static DAY_OFFSET: OnceLock<Duration> = OnceLock::new();
+    let day = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let offset = *DAY_OFFSET.get_or_init(|| day().saturating_sub(since_start()));
+    since_start().saturating_add(offset)
+}
+
 fn longest_wait(report: &LimitReport) -> Duration {
     if report.demand.asks.is_empty() {
         return MAX_WAIT;
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -16,6 +16,7 @@
 use crate::event::{Event, Journal};
 use crate::group::{Envelope, Group, GroupId, GroupOptions, ReplicatedState};
 use crate::ledger::LedgerState;
+use crate::listener::{bind, bind_error};
 use crate::peer::{Cluster, PeerIdentity, PeerLinks, dispatch_outbox};
 use crate::route::{
     Admission, LedgerClient, RequestCounter, RetryBudgets, Router, RouterLease, ServerTracker,
@@ -28,7 +29,6 @@
 use crate::vms::VmList;
 use crate::{caller, operator};
 use metrics_exporter_prometheus::PrometheusHandle;
-use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -106,7 +106,9 @@
         pools: LeaderPools::default(),
         parts: LeaderParts::default(),
         limits: LeaderLimits::default(),
+        connections: Default::default(),
         helpers: Default::default(),
+        refused: Default::default(),
         departures: Default::default(),
         publisher: Publisher::default(),
         metrics,
@@ -218,11 +220,3 @@
         tie_breaker: AtomicUsize::new(0),
     })
 }
-
-pub(super) fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).map_err(|cause| bind_error(address, cause))
-}
-
-pub(super) fn bind_error(address: SocketAddr, cause: std::io::Error) -> Error {
-    Error::Bind { address: address.to_string(), cause }
-}
--- a/src/daemon/voter.rs
+++ b/src/daemon/voter.rs
@@ -9,12 +9,13 @@
 use super::pool_rollouts::manage_pool_rollouts;
 use super::renewals::publish_changes;
 use super::server_limits::{LeaderLimits, keep_server_limits};
-use super::start::{bind, bind_error, open_groups};
+use super::start::open_groups;
 use super::warm_up_rates::WarmUpRates;
 use crate::consensus::Members;
 use crate::distribution::Publisher;
 use crate::error::Error;
 use crate::event::{Event, Journal, run_log_loop};
+use crate::listener::{bind, bind_error};
 use crate::operator::{OperatorFormat, serve_with_format};
 use crate::peer::{Cluster, PeerIdentity, PeerLinks, dispatch_outbox};
 use crate::seeds;
@@ -113,7 +114,9 @@
         pools: LeaderPools::default(),
         parts: LeaderParts::default(),
         limits: LeaderLimits::default(),
+        connections: Default::default(),
         helpers: Default::default(),
+        refused: Default::default(),
         departures: Default::default(),
         publisher: Publisher::default(),
         metrics,
--- a/src/daemon/warm_up_rates.rs
+++ b/src/daemon/warm_up_rates.rs
@@ -3,6 +3,7 @@
 use super::Node;
 use crate::name::{PoolName, VmName};
 use crate::operator::OperatorFormat;
+use crate::peer::WarmUpRateTable;
 use crate::policy::WarmingServers;
 use crate::vms::VmReading;
 use std::collections::{BTreeMap, HashSet};
@@ -33,6 +34,8 @@
         self.number = number;
         let rates = table.map(|table| self.format.warm_up_rates(&table.document));
         self.rates = rates.unwrap_or_default();
+        let rates = self.rates.iter().map(|(pool, rate)| (pool.clone(), *rate)).collect();
+        node.set_warm_up_rates(WarmUpRateTable { number, rates });
     }
 
     /// The servers that are warming up and whose pools have a rate.
--- a/src/distribution/change_log.rs
+++ b/src/distribution/change_log.rs
@@ -1,4 +1,5 @@
 use super::ContentDigest;
+use crate::peer::ProtocolVersion;
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -50,6 +51,8 @@
     number: u64,
     base: ContentDigest,
     target: ContentDigest,
+    /// The first version of daemons that can read it.
+    needs: ProtocolVersion,
     bytes: Bytes,
 }
 
@@ -67,11 +70,12 @@
 }
 
 impl ChangeLog {
-    /// Creates a log from a snapshot that leads to the state `target`.
-    pub fn new(target: ContentDigest, snapshot: Bytes) -> Self {
+    /// Creates a log from a snapshot that leads to the state `target`, for daemons since version
+    /// `needs`.
+    pub fn new(target: ContentDigest, needs: ProtocolVersion, snapshot: Bytes) -> Self {
         let number = u64::from(rand::random::<u32>()) << u32::BITS;
         let base = ContentDigest::EMPTY;
-        let snapshot = Record { number, base, target, bytes: snapshot };
+        let snapshot = Record { number, base, target, needs, bytes: snapshot };
         Self { next_number: number + 1, snapshot, steps: VecDeque::new() }
     }
 
@@ -80,21 +84,22 @@
         self.steps.back().unwrap_or(&self.snapshot).target
     }
 
-    /// Appends a change that follows the present state. Returns whether a new snapshot is due.
-    pub fn push(&mut self, target: ContentDigest, bytes: Bytes) -> bool {
+    /// Appends a change that follows the present state, for daemons since version `needs`. Returns
+    /// whether a new snapshot is due.
+    pub fn push(&mut self, target: ContentDigest, needs: ProtocolVersion, bytes: Bytes) -> bool {
         let base = self.target();
         let number = self.take_number();
-        self.steps.push_back(Record { number, base, target, bytes });
+        self.steps.push_back(Record { number, base, target, needs, bytes });
         let limit = self.snapshot.bytes.len() / 2 + MIN_STEP_BYTES;
         byte_count(self.steps.range(self.first_after_snapshot()..)) > limit
     }
 
     /// Replaces the snapshot by one of the present state, and drops the oldest steps beyond the
     /// limit of bytes.
-    pub fn replace_snapshot(&mut self, bytes: Bytes) {
+    pub fn replace_snapshot(&mut self, needs: ProtocolVersion, bytes: Bytes) {
         let (number, target) = (self.take_number(), self.target());
         let limit = bytes.len() + MAX_STEP_BYTES;
-        self.snapshot = Record { number, base: ContentDigest::EMPTY, target, bytes };
+        self.snapshot = Record { number, base: ContentDigest::EMPTY, target, needs, bytes };
         let mut excess = byte_count(self.steps.iter()).saturating_sub(limit);
         while excess > 0 {
             let dropped = self.steps.pop_front().map_or(0, |step| step.bytes.len());
@@ -104,24 +109,36 @@
 
     /// The next chunk for a router, or `None` if it has the present state.
     pub fn read(&self, position: &Position) -> Option<Chunk> {
-        self.read_up_to(position, CHUNK_BYTES)
+        self.read_up_to(position, CHUNK_BYTES, ProtocolVersion::CURRENT)
     }
 
-    /// Like [`Self::read`], with at most `limit` bytes in the chunk.
-    pub fn read_up_to(&self, position: &Position, limit: usize) -> Option<Chunk> {
+    /// Whether a router of a version with the state `base` can read a way to the present state.
+    pub fn has_way_for(&self, version: ProtocolVersion, base: ContentDigest) -> bool {
+        is_readable(&self.records_after(base), version)
+            || is_readable(&self.snapshot_and_steps(), version)
+    }
+
+    /// Like [`Self::read`], with at most `limit` bytes in the chunk, and from the snapshot on where
+    /// a router of this version cannot read the changes.
+    pub fn read_up_to(
+        &self,
+        position: &Position,
+        limit: usize,
+        version: ProtocolVersion,
+    ) -> Option<Chunk> {
         if position.base == self.target() {
             return None;
         }
         let leads_on = |records: &Vec<&Record>| {
             let base = records[0].base;
-            base == position.base || base == ContentDigest::EMPTY
+            (base == position.base || base == ContentDigest::EMPTY) && is_readable(records, version)
         };
         // A late response may have begun a transfer that a router has been through already.
         let resumed = position.transfer.and_then(|number| self.records_from(number));
         let resumed = resumed.filter(leads_on);
         let (records, offset) = match resumed {
             Some(records) => (records, position.offset),
-            None => (self.records_after(position.base), 0),
+            None => (self.records_for(version, position.base), 0),
         };
         let total = byte_count(records.iter().copied()) as u64;
         let offset = if offset < total { offset } else { 0 };
@@ -158,12 +175,24 @@
         }
     }
 
+    /// The same, for a router that reads nothing beyond `version`.
+    fn records_for(&self, version: ProtocolVersion, base: ContentDigest) -> Vec<&Record> {
+        Some(self.records_after(base))
+            .filter(|records| is_readable(records, version))
+            .unwrap_or_else(|| self.snapshot_and_steps())
+    }
+
     fn snapshot_and_steps(&self) -> Vec<&Record> {
         let steps = self.steps.range(self.first_after_snapshot()..);
         std::iter::once(&self.snapshot).chain(steps).collect()
     }
 }
 
+/// Whether daemons of a version can read all of these records.
+fn is_readable(records: &[&Record], version: ProtocolVersion) -> bool {
+    records.iter().all(|record| record.needs <= version)
+}
+
 fn byte_count<'a, I>(records: I) -> usize
 where
     I: Iterator<Item = &'a Record>,
--- a/src/distribution/config_entry.rs
+++ b/src/distribution/config_entry.rs
@@ -1,9 +1,13 @@
 use crate::control::{
-    CallerLimits, ConfiguredRoute, Model, Organisation, PoolRollout, PoolSpec, Rollout,
-    RouteOrganisation, Service, Version,
+    CallerLimits, ConfiguredRoute, Model, Organisation, PoolRollout, PoolSpec, RegionScope,
+    Rollout, RouteOrganisation, Service, Version,
 };
-use crate::name::{ModelName, OrganisationName, PoolName, RolloutName, ServiceName, VersionKey};
+use crate::name::{
+    DataCentre, ModelName, OrganisationName, PoolName, Region, RolloutName, ServiceName, VersionKey,
+};
+use crate::peer::ProtocolVersion;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// A part of the configuration that changes as a whole.
@@ -29,6 +33,10 @@
     Pool(PoolSpec),
     /// An organisation of the route table.
     RouteOrganisation(RouteOrganisation),
+    /// A data centre whose servers get no calls.
+    Evacuated(DataCentre),
+    /// The regions in which some calls may be served.
+    Regions(RegionScope, BTreeSet<Region>),
 }
 
 /// What a configuration has only once.
@@ -74,6 +82,10 @@
     Pool(PoolName),
     /// The name and priority of an organisation of the route table.
     RouteOrganisation(OrganisationName, Option<u8>),
+    /// The name of a data centre that is evacuated.
+    Evacuated(DataCentre),
+    /// Calls that may be served in some regions only.
+    Regions(RegionScope),
 }
 
 impl ConfigEntry {
@@ -92,11 +104,22 @@
             ConfigEntry::RouteOrganisation(entry) => {
                 ConfigKey::RouteOrganisation(entry.name.clone(), entry.priority)
             }
+            ConfigEntry::Evacuated(data_centre) => ConfigKey::Evacuated(data_centre.clone()),
+            ConfigEntry::Regions(scope, _) => ConfigKey::Regions(scope.clone()),
         }
     }
 }
 
 impl ConfigKey {
+    /// The first version of daemons that can read the entry and its key.
+    pub fn needs(&self) -> ProtocolVersion {
+        match self {
+            ConfigKey::Evacuated(_) => ProtocolVersion::EVACUATIONS,
+            ConfigKey::Regions(_) => ProtocolVersion::REGIONS,
+            _ => ProtocolVersion::FIRST,
+        }
+    }
+
     /// Whether the entry belongs to the route table.
     pub fn is_in_table(&self) -> bool {
         matches!(self, ConfigKey::Route(..) | ConfigKey::Pool(_) | ConfigKey::RouteOrganisation(..))
--- a/src/distribution/config_set.rs
+++ b/src/distribution/config_set.rs
@@ -1,7 +1,7 @@
 //! Conversion of a configuration to entries and back.
 
 use super::{ConfigEntry, ConfigHeader, ConfigKey, EntrySet, TableHeader};
-use crate::control::{Config, RouteOrganisation, RouteTable};
+use crate::control::{Config, RegionRules, RouteOrganisation, RouteTable};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,6 +18,9 @@
     entries.extend(config.services.values().cloned().map(ConfigEntry::Service));
     entries.extend(config.rollouts.values().cloned().map(ConfigEntry::Rollout));
     entries.extend(config.pool_rollouts.values().cloned().map(ConfigEntry::PoolRollout));
+    entries.extend(config.evacuated.iter().cloned().map(ConfigEntry::Evacuated));
+    let rules = config.region_rules.rules.iter();
+    entries.extend(rules.map(|(scope, rule)| ConfigEntry::Regions(scope.clone(), rule.clone())));
     if let Some(table) = config.route_table.as_ref().filter(|_| with_table) {
         entries.extend(table.routes.iter().cloned().map(ConfigEntry::Route));
         entries.extend(table.pools.iter().cloned().map(ConfigEntry::Pool));
@@ -60,6 +63,7 @@
 pub fn config_from_entries(set: &ConfigSet) -> Config {
     let mut config = Config::default();
     let mut table: Option<RouteTable> = None;
+    let mut rules = RegionRules::default();
     for entry in set.entries() {
         match entry.clone() {
             ConfigEntry::Header(header) => {
@@ -84,6 +88,12 @@
             ConfigEntry::PoolRollout(entry) => {
                 config.pool_rollouts.insert(entry.pool.clone(), entry);
             }
+            ConfigEntry::Evacuated(data_centre) => {
+                config.evacuated.insert(data_centre);
+            }
+            ConfigEntry::Regions(scope, rule) => {
+                rules.rules.insert(scope, rule);
+            }
             table_entry => {
                 if let Some(table) = &mut table {
                     add_to_table(table, table_entry);
@@ -92,6 +102,7 @@
         }
     }
     config.route_table = table.map(Arc::new);
+    config.region_rules = Arc::new(rules);
     config
 }
 
--- a/src/distribution/entry_set.rs
+++ b/src/distribution/entry_set.rs
@@ -42,6 +42,16 @@
         self.entries.values()
     }
 
+    /// The keys of the entries, in their order.
+    pub fn keys(&self) -> impl Iterator<Item = &K> {
+        self.entries.keys()
+    }
+
+    /// The key of an entry.
+    pub fn key_of(&self, entry: &E) -> K {
+        (self.key_of)(entry)
+    }
+
     /// The change from the empty set to this one.
     pub fn snapshot(&self) -> Change<K, E> {
         let set = self.entries().cloned().collect();
--- a/src/distribution/publisher.rs
+++ b/src/distribution/publisher.rs
@@ -4,6 +4,7 @@
 };
 use crate::control::Config;
 use crate::name::VmName;
+use crate::peer::ProtocolVersion;
 use crate::vms::{Vm, VmState};
 use std::sync::{Arc, Mutex};
 
@@ -26,7 +27,8 @@
 impl Default for Publisher {
     fn default() -> Self {
         let config = PublishedConfig::new(Arc::default());
-        let vms = Published::new(EntrySet::new(|vm: &Vm| vm.name.clone()));
+        let vms =
+            Published::new(EntrySet::new(|vm: &Vm| vm.name.clone()), |_| ProtocolVersion::FIRST);
         Self { config: Mutex::new(config), vms: Mutex::new(vms) }
     }
 }
@@ -64,6 +66,20 @@
         config.entries.read_up_to(position, limit)
     }
 
+    /// Like [`Self::read_config_up_to`], for a router that reads nothing beyond `version`.
+    ///
+    /// # Errors
+    /// If the configuration has what such a router cannot read: the first version that can.
+    pub fn read_config_for(
+        &self,
+        version: ProtocolVersion,
+        position: &Position,
+        limit: usize,
+    ) -> Result<Option<Chunk>, ProtocolVersion> {
+        let mut config = self.config.lock().expect("published configuration lock");
+        config.entries.read_for(version, position, limit)
+    }
+
     /// The next chunk of the VM list, or `None` if the router has it.
     pub fn read_vms(&self, position: &Position) -> Option<Chunk> {
         self.vms.lock().expect("published VM list lock").read(position)
@@ -75,7 +91,7 @@
         let mut set = ConfigSet::new(ConfigEntry::key);
         set.replace(config_entries(&config, true), |_| true);
         let whole = Arc::new(config_from_entries(&set));
-        Self { entries: Published::new(set), source: config, whole }
+        Self { entries: Published::new(set, ConfigKey::needs), source: config, whole }
     }
 
     fn update(&mut self, config: &Arc<Config>) {
--- a/src/gateway/accepted_call.rs
+++ b/src/gateway/accepted_call.rs
@@ -1,18 +1,20 @@
 //! A call that was accepted, with what its attempts need and what they have come to.
 
+use super::allowed_servers::{AllowedServers, Obstacle};
 use super::attempt_trail::AttemptTrail;
 use super::call_body::CallBody;
 use super::hop::Hop;
 use super::hop_account::HopAccount;
 use super::route_permit::RoutePermit;
 use super::server_selection::{Selection, SelectionCriteria, stable_hash};
-use super::{Gateway, RequestHead, RouteIndex};
+use super::server_table::ServerState;
+use super::{Destination, Gateway, RequestHead, RequestedModel, RouteIndex};
 use crate::control::{ConfiguredRoute, KeyHash, Suspect};
-use crate::name::{ModelName, OrganisationName, PoolName, VersionName, VmName};
+use crate::name::{DataCentre, ModelName, OrganisationName, PoolName, VersionName, VmName};
 use crate::policy::repeat_delay;
 use http::{HeaderMap, Method, Uri};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// Servers that may end under one call before it is not sent to another one.
@@ -76,6 +78,9 @@
     pub most_sends: Option<u32>,
     /// Why the last attempt failed; `None` while no server can have run the call.
     pub last_failure: Option<String>,
+    /// Whether a server or router may have the call, or has answered it: set before the first byte is
+    /// written, and cleared once it is known not to have run there.
+    pub may_run: Arc<AtomicBool>,
     /// Answers that were lost.
     pub losses: u32,
     /// Whether an answer was lost since the last attempt began.
@@ -113,6 +118,17 @@
         self.just_lost = true;
     }
 
+    /// A larger model is asked, at no further cost to the retry budget.
+    pub fn record_low_confidence(&mut self) {
+        self.budget_taken = true;
+        self.last_failure = Some("the confidence of the model was too low".to_owned());
+    }
+
+    /// Whether no server has run the call, nor may run it.
+    pub fn is_not_run(&self) -> bool {
+        self.last_failure.is_none() && !self.may_run.load(Ordering::SeqCst)
+    }
+
     /// How long to wait before the call is sent again after its answer was lost; `None` if it was not.
     pub fn take_repeat_delay(&mut self) -> Option<Duration> {
         std::mem::take(&mut self.just_lost).then(|| repeat_delay(self.losses))
@@ -154,7 +170,7 @@
     }
 
     /// Permission to send the call once.
-    pub(super) fn permit(&self) -> Arc<RoutePermit> {
+    pub(super) fn permit(&self, destination: Destination) -> Arc<RoutePermit> {
         RoutePermit::new(
             self.gateway.lease.clone(),
             self.index.config.revision,
@@ -162,6 +178,7 @@
             self.pool.clone(),
             self.key.clone(),
             self.organisation.clone(),
+            destination,
         )
     }
 
@@ -174,6 +191,34 @@
         self.gateway.select_server(current.as_ref().unwrap_or(&self.index), &criteria)
     }
 
+    /// Whether the call's body may be sent to a data centre under the present configuration.
+    pub(super) fn may_be_served_in(&self, data_centre: &DataCentre) -> bool {
+        self.with_allowed(|allowed| allowed.is_in_region(data_centre))
+    }
+
+    /// Why no server of the pool takes the call, if that is so.
+    pub(super) fn obstacle(&self) -> Option<Obstacle> {
+        let servers = self.gateway.servers.pool(&self.pool);
+        self.with_allowed(|allowed| allowed.obstacle(&servers))
+    }
+
+    /// Whether one of these servers may get the call, be it after a pause.
+    pub(super) fn is_any_in_use(&self, names: &[VmName]) -> bool {
+        let servers = self.gateway.servers.pool(&self.pool);
+        let is_named = |server: &&Arc<ServerState>| names.contains(&server.vm.name);
+        let mut named = servers.iter().filter(is_named);
+        self.with_allowed(|allowed| named.any(|server| allowed.is_in_use(server)))
+    }
+
+    fn with_allowed<F, T>(&self, ask: F) -> T
+    where
+        F: FnOnce(&AllowedServers<'_>) -> T,
+    {
+        let current = self.gateway.route_index();
+        let index = current.as_ref().unwrap_or(&self.index);
+        ask(&AllowedServers::new(&self.gateway, &index.config, &self.criteria(None, &[])))
+    }
+
     /// The version that last served the call's session, if known.
     pub(super) fn session_version(&self) -> Option<Option<VersionName>> {
         self.gateway.sessions.version(self.head.session.as_deref()?)
@@ -190,10 +235,18 @@
         };
         SelectionCriteria {
             pool: &self.pool,
+            route: &self.route,
+            organisation: self.organisation.as_ref(),
+            model: match &self.head.model {
+                RequestedModel::Named(model) => Some(model),
+                RequestedModel::Any | RequestedModel::Unspecified => self.model.as_ref(),
+            },
             hash,
             in_session: self.head.session.is_some(),
             session_version,
             parts: &self.parts,
+            answer_tokens: self.head.tokens.answer,
+            body_bytes: self.body.bytes.len(),
             excluded,
         }
     }
--- a/src/gateway/answer_watch.rs
+++ b/src/gateway/answer_watch.rs
@@ -108,7 +108,7 @@
         if let Some(failure) = server.ask_within(ASK_PAUSE) {
             return failure;
         }
-        let failure = gateway.connections.open(server.vm.address).await.err();
+        let failure = gateway.try_connect(server).await.err();
         server.record_asked(failure);
         if let Some(failure) = failure {
             server.pause_unreached();
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -8,6 +8,7 @@
 use crate::name::VmName;
 use crate::policy::{Helper, SENT_RANK};
 use http::StatusCode;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// The most servers tried for one call, besides those that could not be connected to.
@@ -81,7 +82,7 @@
                 Target::Server(selected) => {
                     let version = selected.server.vm.version.clone();
                     history.sends += 1;
-                    let outcome = self.send(selected, last_event, timeout).await;
+                    let outcome = self.send(selected, last_event, timeout, &history.may_run).await;
                     if let (SendOutcome::Answered(_), Some(session)) = (&outcome, session) {
                         self.gateway.sessions.record(session, version);
                     }
@@ -98,8 +99,15 @@
                     }
                     outcome
                 }
-                Target::Router(helper) => self.pass_on(&helper, history, last_event, timeout).await,
+                Target::Router(helper) => {
+                    history.may_run.store(true, Ordering::SeqCst);
+                    self.pass_on(&helper, history, last_event, timeout).await
+                }
             };
+            // A lost answer has a cause in the history.
+            if !matches!(outcome, SendOutcome::Answered(_)) {
+                history.may_run.store(false, Ordering::SeqCst);
+            }
             history.trail.end(StepOutcome::of(&outcome));
             match outcome {
                 SendOutcome::Answered(exchange) => {
@@ -173,7 +181,10 @@
         if self.hop.is_some() || history.targets_tried() >= MAX_TARGETS_TRIED {
             return None;
         }
-        self.gateway.helpers.pick(&self.gateway, &history.servers).await.map(Target::Router)
+        let usable = |helper: &Helper| {
+            !history.servers.contains(&helper.vm) && self.may_be_served_in(&helper.data_centre)
+        };
+        self.gateway.helpers.pick(&self.gateway, usable).await.map(Target::Router)
     }
 
     /// The error for a call that other routers refuse. What they refuse they have not run.
@@ -199,12 +210,20 @@
                 return Err(self.final_error(history));
             }
             let servers = match self.select_server(&history.servers) {
-                Selection::Server(selected) => return Ok(selected),
+                Selection::Server(selected) => {
+                    self.enter_pool(history, &selected)?;
+                    return Ok(selected);
+                }
                 Selection::Limited(servers) => servers,
                 Selection::Nothing => return Err(self.final_error(history)),
             };
             let (until, rank) = self.limit_wait(history);
-            let Some(token) = self.gateway.limits.wait(&servers, rank, until).await else {
+            let token = tokio::select! {
+                token = self.gateway.limits.wait(&servers, rank, until) => token,
+                // What they were waited for, others may serve, or nobody.
+                () = self.until_barred(&servers) => continue,
+            };
+            let Some(token) = token else {
                 if rank == SENT_RANK {
                     log::info!(
                         "call {}: not tried again, as {} servers of pool {} that name limits take it \
@@ -221,9 +240,19 @@
             if let Some(selected) = self.gateway.select_with_token(&criteria, token) {
                 return Ok(selected);
             }
+            // Without a lease no token can be used, and the next one would come at once.
+            if !self.gateway.lease.is_valid() {
+                return Err(self.final_error(history));
+            }
         }
     }
 
+    /// Completes when a newer configuration lets the call go to none of these servers.
+    async fn until_barred(&self, servers: &[VmName]) {
+        let mut installed = self.gateway.installed.subscribe();
+        while self.is_any_in_use(servers) && installed.changed().await.is_ok() {}
+    }
+
     /// Until when the call may wait for a limited server, and its rank among those that wait. A call
     /// that was sent before cannot be refused as one that has not run.
     fn limit_wait(&self, history: &AttemptHistory) -> (Instant, u8) {
@@ -270,8 +299,8 @@
             Some(cause) => GatewayError::ResponseLost(cause.clone()),
             // Without a lease nothing is written to any server.
             None if !self.gateway.lease.is_valid() => GatewayError::NoLease,
-            None if let Some(wait) = self.gateway.servers.pool_backoff_left(&self.pool) => {
-                GatewayError::ServersBackingOff { pool: self.pool.to_string(), wait }
+            None if let Some(obstacle) = self.obstacle() => {
+                GatewayError::of_obstacle(obstacle, &self.pool)
             }
             None if history.sends > 0 => GatewayError::ServersFull,
             None => GatewayError::NoServer(self.pool.to_string()),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,22 +2,26 @@
 
 use super::accepted_call::Call;
 use super::answer_watch::{AnswerWatch, Owed};
+use super::cold_news::ColdCause;
+use super::connection_room::Room;
 use super::hop::HOP;
 use super::hop_account::ALLOWANCE;
 use super::part_watch::RunRecord;
 use super::paths::PoolPath;
+use super::placement::AnswerTiming;
 use super::response::{ends_with_connection, strip_hop_headers};
 use super::response_timeout::ResponseTimeout;
 use super::server_selection::SelectedServer;
 use super::server_table::{InFlightCall, ServerState};
 use super::tallies::{CallOutcome, CallRecorder};
-use super::{ForwardedHead, ResponseHead};
+use super::{Destination, ForwardedHead, ResponseHead};
 use crate::backend::{BackendBody, ByteBudget, PooledConnection, SendError, WritePermit};
 use crate::policy::{ConnectFailure, Helper};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// A connection is dropped this long before its server's announced keep-alive timeout, which is in
@@ -25,6 +29,8 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Why a call gets no response from a server of a pool that cannot be reached.
 const NO_SERVER_REACHED: &str = "no server of the pool can be reached";
+/// Why a call is not sent to a server to which this router has as many connections as it may.
+const NO_CONNECTION: &str = "no connection to the server is free, and no more may be opened";
 /// Why a call is not sent to a server that did not answer when others of its pool were tried.
 const FOUND_UNREACHED: &str = "the server accepts no connections, and others do";
 /// How long an idle connection is kept if its server announces no keep-alive timeout.
@@ -65,8 +71,14 @@
     pub recorder: CallRecorder,
     /// How long the first event of a stream may take.
     pub timeout: ResponseTimeout,
+    /// Calls that were in line for each place at the server when the call was sent.
+    pub turns: f64,
     sent_at: Instant,
+    /// Whether the response, or its first event, was recorded as arrived.
+    has_started: bool,
     run: RunRecord,
+    /// Learns from the answer; `None` for a call that was placed by fixed times.
+    timing: Option<AnswerTiming>,
     /// Watches whether the server can be reached; `None` for a call that was passed on.
     watch: Option<AnswerWatch>,
     /// The budget that the bytes held of the response count towards.
@@ -95,9 +107,12 @@
             in_flight: ServerState::of_helper(helper, &call.pool).begin_call(&[], 0),
             recorder: tallies.begin_call(&call.pool, None, &call.route.name, model, 1.0),
             timeout,
+            turns: 0.0,
             sent_at,
+            has_started: false,
             // The account that came with the head does not tell of a server that ends after it.
             run: gateway.passed_on.runs.begin_run(&call.suspects, &call.ended_servers),
+            timing: None,
             watch: None,
             buffers: gateway.buffers.clone(),
             connection,
@@ -114,6 +129,9 @@
         if self.response.status().is_success() && !ends_with_connection(&self.response) {
             self.run.answered();
         }
+        if let Some(timing) = self.timing.take().filter(|_| self.response.status().is_success()) {
+            timing.finish(self.sent_at.elapsed());
+        }
         let keep_alive =
             self.head.keep_alive.map(|keep_alive| keep_alive.saturating_sub(KEEP_ALIVE_MARGIN));
         self.connection.return_to_pool_for(keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE));
@@ -148,36 +166,61 @@
         self.run.server_ended(&self.in_flight.server.vm.name, age);
     }
 
+    /// Keeps the response unread while a larger model is asked: its events then come together, so that the time
+    /// between them tells nothing of its server.
+    pub(super) fn keep(&mut self, call: &Call) {
+        // The time to the head is not that to the first event.
+        self.timing = None;
+        self.response_started(call);
+        self.recorder.ignore_intervals();
+        // It has not been waited for in the meantime.
+        self.timeout.early = self.timeout.latest;
+    }
+
     /// Discards the response, as its model's confidence is too low. The connection is closed, so
     /// that the server notices at once.
     pub fn discard(mut self: Box<Self>) {
-        self.response_started();
         self.recorder.set_outcome(CallOutcome::Success);
     }
 
-    /// Time since the call was sent.
-    pub fn elapsed(&self) -> Duration {
-        self.sent_at.elapsed()
+    /// When the call was sent.
+    pub fn sent_at(&self) -> Instant {
+        self.sent_at
     }
 
-    /// Records that the response, or its first event, has arrived.
-    pub fn response_started(&mut self) {
+    /// Records that the response, or its first event, has arrived; only the first time counts.
+    pub(super) fn response_started(&mut self, call: &Call) {
+        if std::mem::replace(&mut self.has_started, true) {
+            return;
+        }
+        let elapsed = self.sent_at.elapsed();
+        call.record_response_time(elapsed);
+        if !self.is_passed_on() {
+            call.record_first(elapsed, self.turns);
+        }
         self.in_flight.prompt_read();
         let ratio = self.recorder.response_started();
         self.in_flight.server.record_response(ratio);
+        if let Some(timing) = self.timing.as_mut().filter(|_| self.response.status().is_success()) {
+            timing.first_event(&self.in_flight.server, self.sent_at.elapsed());
+        }
     }
 }
 
 impl Call {
-    /// Sends the call to a server and waits for the head of the response.
+    /// Sends the call to a server and waits for the head of the response. `may_run` is set before the first
+    /// byte is written.
     pub(super) async fn send(
         &self,
         selected: SelectedServer,
         last_event: Option<u64>,
         timeout: ResponseTimeout,
+        may_run: &AtomicBool,
     ) -> SendOutcome {
-        let SelectedServer { server, uncached_tokens, baseline_ms, permit, .. } = selected;
+        let SelectedServer { server, uncached_tokens, baseline_ms, permit, placed, .. } = selected;
+        let turns = server.load().turns();
         let in_flight = server.begin_call(&self.parts, uncached_tokens);
+        self.gateway.record_model(&self.index.config, &self.criteria(None, &[]));
         let version = server.vm.version.as_ref();
         let mut recorder = self.gateway.tallies.begin_call(
             &self.pool,
@@ -186,9 +229,8 @@
             self.model.as_ref(),
             baseline_ms,
         );
-        let new_connection = !self.route.kind.is_retry_safe();
         let path = self.gateway.paths.pool(&self.pool);
-        let mut connection = match self.connect(&server, new_connection, &path).await {
+        let mut connection = match self.connect(&server, &path).await {
             Ok(connection) => connection,
             Err(outcome) => return outcome,
         };
@@ -201,16 +243,23 @@
             connection.return_to_pool();
             return SendOutcome::NotSent("the server's limit allows no call now".to_owned());
         };
-        let write_permit = self.permit();
+        let data_centre = server.vm.data_centre.clone();
+        let region = self.gateway.settings.regions.of(&data_centre).cloned();
+        let write_permit = self.permit(Destination::Server { data_centre, region });
         connection.set_permit(write_permit.clone());
         let request = self.request(&server.vm.name, last_event);
         let mut run = self.gateway.parts.begin_run(&self.suspects, &self.ended_servers);
+        let timing = placed.map(|placed| {
+            let criteria = self.criteria(None, &[]);
+            AnswerTiming::begin(self.gateway.placement.clone(), &criteria, placed)
+        });
         let sent_at = Instant::now();
         permit.spend();
         let watch = AnswerWatch::begin(path.clone(), server.clone());
         if let Some(gap) = self.route.gap_target {
             path.allow_gap(gap);
         }
+        may_run.store(true, Ordering::SeqCst);
         let waiting = self.wait_for_response(timeout, connection.send_unchanged(request));
         let result = match self.unless_given_up(&watch, waiting).await {
             Some(result) => result,
@@ -223,6 +272,7 @@
         let response = match result {
             Ok(Ok(response)) => {
                 watch.record_heard();
+                connection.record_answered();
                 response
             }
             Ok(Err(SendError::NotSent(cause))) => {
@@ -230,6 +280,11 @@
                 // An idle connection may end at any time; one that was opened for the call ends with its
                 // server, unless the call may not be written any more.
                 if connection.is_new() && write_permit.run_if_permitted(&mut || ()) {
+                    if let Some(proof) = connection.proof()
+                        && self.is_turned_down(&server, &connection).await
+                    {
+                        return self.turned_down(&server, &path, proof);
+                    }
                     server.pause_unreached();
                     path.record_unreached(&self.gateway, &server.vm.name, ConnectFailure::Refused);
                     return SendOutcome::Unreached(cause);
@@ -237,6 +292,13 @@
                 return SendOutcome::NotSent(cause);
             }
             Ok(Err(SendError::MaybeSent(cause))) => {
+                // It may have run all the same, and its answer be lost, or have ended its server.
+                if let Some(proof) = connection.proof()
+                    && self.was_one_too_many(&server, &connection, proof.room()).await
+                {
+                    self.record_turned_down(&server, &path, proof);
+                    return SendOutcome::Lost(cause);
+                }
                 server.record_failure();
                 run.server_ended(&server.vm.name, sent_at.elapsed());
                 server.pause();
@@ -283,8 +345,12 @@
             in_flight,
             recorder,
             timeout,
+            // The server may have said more since then.
+            turns: turns.max(server.load().turns()),
             sent_at,
+            has_started: false,
             run,
+            timing,
             watch: Some(watch),
             buffers: self.gateway.buffers.clone(),
             connection,
@@ -295,14 +361,22 @@
     async fn connect(
         &self,
         server: &ServerState,
-        new_connection: bool,
         path: &Arc<PoolPath>,
     ) -> Result<PooledConnection, SendOutcome> {
         let (connections, address) = (&self.gateway.connections, server.vm.address);
-        let idle = if new_connection { None } else { connections.acquire_idle(address) };
-        if let Some(connection) = idle {
-            return Ok(connection);
-        }
+        let slot = match self.gateway.connection_cap(&self.pool) {
+            None if self.route.kind.is_retry_safe()
+                && let Some(connection) = connections.acquire_idle(address) =>
+            {
+                return Ok(connection);
+            }
+            None => None,
+            Some(cap) => match self.connection_room(server, cap).await {
+                Room::Idle(connection) => return Ok(connection),
+                Room::Place(slot) => Some(slot),
+                Room::Full => return Err(SendOutcome::NotSent(NO_CONNECTION.to_owned())),
+            },
+        };
         if self.hop.is_none() && path.refuses_connections(&self.gateway) {
             return Err(SendOutcome::NoPath);
         }
@@ -317,11 +391,25 @@
         };
         match opened {
             Ok(stream) => {
+                if let Some(slot) = &slot
+                    && !self.is_accepted(slot.room(), &stream).await
+                {
+                    return Err(self.turned_down(server, path, slot.proof()));
+                }
                 path.record_connected();
-                let adopted = connections.adopt(address, stream).await;
+                let adopted = connections.adopt(address, stream, slot).await;
                 adopted.map_err(|error| SendOutcome::NotSent(error.to_string()))
             }
+            Err(ConnectFailure::Reset) if let Some(slot) = &slot => {
+                Err(self.turned_down(server, path, slot.proof()))
+            }
             Err(failure) => {
+                let failure = failure.of_uncapped();
+                // A single attempt without answer may have been lost on the way.
+                if failure == ConnectFailure::Refused || server.is_failing() {
+                    let cause = ColdCause::Unreached(failure);
+                    self.gateway.limits.presume_cold([&server.vm], cause);
+                }
                 server.pause_unreached();
                 path.record_unreached(&self.gateway, &server.vm.name, failure);
                 Err(SendOutcome::Unreached(failure.to_string()))
--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -1,4 +1,6 @@
+use super::allowed_servers::Obstacle;
 use crate::control::Suspect;
+use crate::name::PoolName;
 use http::StatusCode;
 use std::time::Duration;
 use thiserror::Error;
@@ -10,6 +12,10 @@
 /// When a caller may come back to a router that reaches no server: it tries one that often.
 const PATH_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// When a caller may come back while all servers of a pool are evacuated: an operator may take them back at any
+/// time.
+const EVACUATED_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Why a call got no response from a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum GatewayError {
@@ -25,6 +31,12 @@
     /// No server of the pool can take the call now.
     #[error("no server of pool {0} can take the call now; retry later")]
     NoServer(String),
+    /// Every server of the pool that could take the call lies in a data centre that is evacuated.
+    #[error("all servers of pool {0} lie in data centres that are evacuated; retry later")]
+    Evacuated(String),
+    /// Every server of the pool lies in a region where the call may not be served.
+    #[error("all servers of pool {0} lie in regions where this call may not be served")]
+    NoRegion(String),
     /// Every server of the pool has asked to be sent nothing for some time.
     #[error("every server of pool {pool} has asked for a pause; retry in {} ms", wait.as_millis())]
     ServersBackingOff {
@@ -44,6 +56,14 @@
         /// The time until it is this caller's turn.
         wait: Duration,
     },
+    /// The pool has too little room for all calls, and others go before this one.
+    #[error("pool {pool} has too little room for this call; retry in {} ms", wait.as_millis())]
+    Overloaded {
+        /// The pool.
+        pool: String,
+        /// The time until it is this caller's turn.
+        wait: Duration,
+    },
     /// Every server that was tried stated that it did not run the call.
     #[error("every server that was tried is full; retry later")]
     ServersFull,
@@ -96,6 +116,16 @@
 }
 
 impl GatewayError {
+    /// Why none of a pool's servers takes a call.
+    pub fn of_obstacle(obstacle: Obstacle, pool: &PoolName) -> Self {
+        let pool = pool.to_string();
+        match obstacle {
+            Obstacle::Region => GatewayError::NoRegion(pool),
+            Obstacle::Evacuated => GatewayError::Evacuated(pool),
+            Obstacle::Pause(wait) => GatewayError::ServersBackingOff { pool, wait },
+        }
+    }
+
     /// The HTTP status of the error response.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -103,8 +133,11 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             GatewayError::NoServer(_)
+            | GatewayError::Evacuated(_)
+            | GatewayError::NoRegion(_)
             | GatewayError::ServersBackingOff { .. }
             | GatewayError::ServersLimited { .. }
+            | GatewayError::Overloaded { .. }
             | GatewayError::ServersFull
             | GatewayError::NoRoom
             | GatewayError::NoPath(_)
@@ -125,13 +158,16 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             GatewayError::NoLease | GatewayError::Stopping => Some(Duration::from_millis(100)),
-            GatewayError::NoServer(_) | GatewayError::ServersFull | GatewayError::NoRoom => {
-                Some(Duration::from_millis(400))
-            }
+            GatewayError::NoServer(_)
+            | GatewayError::ServersFull
+            | GatewayError::NoRoom
+            | GatewayError::NotSentInTime => Some(Duration::from_millis(400)),
+            GatewayError::Evacuated(_) | GatewayError::NoRegion(_) => Some(EVACUATED_RETRY_DELAY),
             GatewayError::NoPath(_) => Some(PATH_RETRY_DELAY),
             GatewayError::PassedOn { wait, .. } => *wait,
             GatewayError::ServersBackingOff { wait, .. }
-            | GatewayError::ServersLimited { wait, .. } => Some(*wait),
+            | GatewayError::ServersLimited { wait, .. }
+            | GatewayError::Overloaded { wait, .. } => Some(*wait),
             GatewayError::Starting => Some(Duration::from_secs(1)),
             GatewayError::Blocked(_) => Some(BLOCKED_RETRY_DELAY),
             _ => None,
@@ -145,8 +181,11 @@
             GatewayError::Starting => "starting",
             GatewayError::Stopping => "stopping",
             GatewayError::NoServer(_) => "no_server",
+            GatewayError::Evacuated(_) => "evacuated",
+            GatewayError::NoRegion(_) => "no_region",
             GatewayError::ServersBackingOff { .. } => "backoff",
             GatewayError::ServersLimited { .. } => "limited",
+            GatewayError::Overloaded { .. } => "overloaded",
             GatewayError::ServersFull => "full",
             GatewayError::NoPath(_) => "no_path",
             GatewayError::PassedOn { .. } => "passed_on",
--- a/src/gateway/header_format.rs
+++ b/src/gateway/header_format.rs
@@ -91,6 +91,8 @@
     pub not_executed: bool,
     /// The server's load, if reported.
     pub load: Option<ReportedLoad>,
+    /// How long work takes at the server at this moment, as a multiple of the usual time, if reported.
+    pub pace: Option<f64>,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
     /// How long the server keeps an idle connection open.
@@ -104,6 +106,8 @@
     /// The calls that the server can turn away in a second for want of room before it falls; `None` if
     /// it does not say that it is brittle.
     pub brittle: Option<f64>,
+    /// How much longer the server takes few requests, as it is cold; zero if it says that it is warm.
+    pub warm_up: Option<Duration>,
 }
 
 /// What a response says of the rate of requests that its server takes from all routers together.
--- a/src/gateway/helper_list.rs
+++ b/src/gateway/helper_list.rs
@@ -3,7 +3,6 @@
 use super::Gateway;
 use super::leader_loop::LeaderConnection;
 use crate::control::RouterId;
-use crate::name::VmName;
 use crate::peer::{HelperRequest, HelperResponse, ProtocolVersion};
 use crate::policy::Helper;
 use rand::seq::IndexedRandom;
@@ -41,8 +40,11 @@
 }
 
 impl HelperList {
-    /// A helper that is not among the `excluded` ones; `None` if there is none.
-    pub async fn pick(&self, gateway: &Gateway, excluded: &[VmName]) -> Option<Helper> {
+    /// A helper that is `usable`; `None` if there is none.
+    pub async fn pick<F>(&self, gateway: &Gateway, usable: F) -> Option<Helper>
+    where
+        F: Fn(&Helper) -> bool,
+    {
         // Calls that ask at the same time share one request to the leader.
         let mut known = self.known.lock().await;
         if known.asked_at.is_none_or(|at| at.elapsed() >= LIST_TTL) {
@@ -54,8 +56,10 @@
                 known.helpers.clear();
             }
         }
-        let usable: Vec<&Helper> =
-            known.helpers.iter().filter(|helper| !excluded.contains(&helper.vm)).collect();
+        // A leader that has not heard yet that this router is cut off may name it.
+        let own = gateway.identity.get().map(|identity| &identity.vm);
+        let is_usable = |helper: &&Helper| own != Some(&helper.vm) && usable(helper);
+        let usable: Vec<&Helper> = known.helpers.iter().filter(is_usable).collect();
         usable.choose(&mut rand::rng()).map(|helper| (*helper).clone())
     }
 
--- a/src/gateway/hop_server.rs
+++ b/src/gateway/hop_server.rs
@@ -40,14 +40,14 @@
 ) {
     let Some(identity) = gateway.identity.get() else { return };
     let accepted = peer::accept(stream, &gateway.settings.cluster_secret, identity).await;
-    let (framed, router) = match accepted {
+    let peer = match accepted {
         Ok(accepted) => accepted,
         Err(error) => {
             log::info!("a connection of another router is refused: {error}");
             return;
         }
     };
-    let parts = framed.into_parts();
+    let (parts, router) = (peer.framed.into_parts(), peer.identity);
     if !parts.read_buf.is_empty() {
         log::info!("router {} sent bytes that are no part of the handshake", router.vm);
         return;
--- a/src/gateway/http_server.rs
+++ b/src/gateway/http_server.rs
@@ -6,13 +6,16 @@
 use super::hop::{Hop, REFUSED};
 use super::hop_account::HopAccount;
 use super::response::{ResponseBody, error_response};
+use crate::backend::ByteShare;
 use crate::connection_end::{close_listener, serve_until};
+use crate::held_answers::{CallerReader, HeldBody, ReaderBounds};
 use crate::inbound::{InboundBody, InboundStream, Progress};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -109,12 +112,21 @@
     }
     let limits = gateway.route_index().map(|index| *index.limits()).unwrap_or_default();
     let progress = Progress::default();
+    let buffer_bytes = (limits.head_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES);
+    if let Some(send_buffer) = gateway.settings.socket_buffer
+        && let Err(error) = SockRef::from(&stream).set_send_buffer_size(send_buffer)
+    {
+        log::debug!("cannot set the send buffer of a caller's connection: {error}");
+    }
+    let bounds = ReaderBounds { ahead: gateway.settings.ahead, write_buffer: buffer_bytes };
+    let reader = CallerReader::new(&gateway.buffers, bounds);
     let service = service_fn(|request: Request<Incoming>| {
         let request = request.map(|body| InboundBody::new(body, progress.clone()));
-        handle_request(gateway.clone(), request, origin)
+        let handled = handle_request(gateway.clone(), request, origin, reader.clone());
+        async move { Ok::<_, Infallible>(handled.await) }
     });
-    let buffer_bytes = (limits.head_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES);
     let stream = InboundStream::new(stream, buffer_bytes, progress.clone());
+    let stream = stream.read_by(reader.clone());
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -122,8 +134,8 @@
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(buffer_bytes);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let ended = serve_until(connection, wait_for_close(&mut closing)).await;
-    if let Err(error) = ended {
+    let serving = serve_until(connection, wait_for_close(&mut closing));
+    if let Some(Err(error)) = reader.serve(serving).await {
         log::debug!("a caller's connection failed: {error}");
     }
     drop(open);
@@ -155,7 +167,8 @@
     gateway: Arc<Gateway>,
     request: Request<InboundBody>,
     origin: Origin,
-) -> Result<Response<ResponseBody>, Infallible> {
+    reader: Arc<CallerReader>,
+) -> Response<HeldBody> {
     let id = gateway.format.log_id(request.headers()).to_owned();
     let started = Instant::now();
     let hop = Hop::from_headers(request.headers()).filter(|_| origin == Origin::Router);
@@ -188,5 +201,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response)
+    // What was read of the answer counts as held for the caller from here on.
+    let share = response.extensions_mut().remove::<Arc<ByteShare>>().and_then(Arc::into_inner);
+    response.map(|body| reader.hold(&id, body, share))
 }
--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -1,6 +1,8 @@
 //! Keeps this router's lease alive; its configuration and VM list arrive with the renewals.
 
 use super::Gateway;
+use super::cold_loop::{self, share_cold};
+use super::connection_loop::{self, keep_to_parts, share_connections};
 use super::limit_loop::{self, serve_waiting_calls, share_limits};
 use super::part_loop::{self, share_parts};
 use super::voters::Voters;
@@ -67,7 +69,10 @@
     let gateway = lease_loop.gateway.clone();
     let leader = gateway.helpers.leader.subscribe();
     tokio::spawn(share_parts(gateway.clone(), lease_loop.router_id(), leader.clone()));
-    tokio::spawn(share_limits(gateway.clone(), lease_loop.router_id(), leader));
+    tokio::spawn(share_limits(gateway.clone(), lease_loop.router_id(), leader.clone()));
+    tokio::spawn(share_cold(gateway.clone(), lease_loop.router_id(), leader.clone()));
+    tokio::spawn(share_connections(gateway.clone(), lease_loop.router_id(), leader));
+    tokio::spawn(keep_to_parts(gateway.clone()));
     tokio::spawn(serve_waiting_calls(gateway));
     loop {
         let renewed = lease_loop.renew().await;
@@ -129,9 +134,18 @@
         if peer.version >= ProtocolVersion::DEADLY_PARTS {
             part_loop::share_once(gateway, router, peer, false).await;
         }
+        // Turns at cold servers, which come with the limits, are laid out by the leader's time.
+        if peer.version >= ProtocolVersion::COLD_SERVERS {
+            cold_loop::share_once(gateway, router, peer).await;
+        }
         if peer.version >= ProtocolVersion::SERVER_LIMITS {
             limit_loop::share_once(gateway, router, peer, false).await;
         }
+        let gives_parts = peer.version >= ProtocolVersion::CONNECTION_PARTS;
+        gateway.shares.set_led(gives_parts);
+        if gives_parts {
+            connection_loop::share_once(gateway, router, peer).await;
+        }
     }
 
     /// Renews the lease and reads on in the leader's log of changes.
@@ -194,7 +208,11 @@
     /// Installs a configuration without extending the lease, except for the first one.
     fn install(&self, config: Arc<Config>) {
         let revision = config.revision;
+        self.gateway.note_evacuations(&config);
         if self.gateway.lease.install(config) {
+            // Its pools may be new.
+            self.gateway.shares.wanted.notify_one();
+            self.gateway.installed.send_replace(revision);
             self.gateway.journal.record(Event::RevisionInstalled { revision });
         }
     }
@@ -230,6 +248,8 @@
                 self.voters.leader_hint = leader.filter(|leader| *leader != address);
                 Ok(false)
             }
+            // Only leaders that send changes know evacuations, and this was none.
+            LeaseResponse::GrantedInEvacuation { .. } => Ok(false),
             LeaseResponse::Granted { config, pool_update, .. } => {
                 if let Some(update) = pool_update {
                     self.apply_update(update);
@@ -276,6 +296,7 @@
         }
         self.gateway.router_count.store(router_count, Ordering::Relaxed);
         self.gateway.limits.set_fleet(router_count);
+        self.gateway.update_shares(router_count);
     }
 
     fn context(&self) -> context::Context {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,12 +3,19 @@
 
 mod accept;
 mod accepted_call;
+mod allowed_servers;
 mod answer_watch;
 mod attempt_trail;
 mod attempts;
 mod brittle_servers;
 mod call;
 mod call_body;
+mod cold_loop;
+mod cold_news;
+mod connection_loop;
+mod connection_room;
+mod destination;
+mod evacuated_servers;
 mod event_splitter;
 mod exchange;
 mod gateway_error;
@@ -22,14 +29,18 @@
 mod lease_loop;
 mod leaving_servers;
 mod limit_loop;
+mod model_servers;
 mod part_loop;
 mod part_watch;
 mod pass_on;
 mod path_sweep;
 mod paths;
+mod placement;
 mod request_hasher;
 mod response;
 mod response_timeout;
+mod returned_servers;
+mod room;
 mod route_index;
 mod route_permit;
 mod run;
@@ -46,6 +57,7 @@
 mod unfinished_answer;
 mod voters;
 
+pub use destination::Destination;
 pub use event_splitter::{EventSplitter, StreamEnd};
 pub use gateway_error::GatewayError;
 pub use header_format::{
--- a/src/gateway/pass_on.rs
+++ b/src/gateway/pass_on.rs
@@ -1,12 +1,12 @@
 //! Passes a call on to another router, where this one does not reach the servers.
 
-use super::NamedLimit;
 use super::accepted_call::{AttemptHistory, Call, MAX_ENDED_SERVERS};
 use super::exchange::{Exchange, SendOutcome, invalid_reason};
 use super::hop::{Hop, REFUSED};
 use super::hop_account::{HopAccount, HopAllowance};
 use super::response::strip_hop_headers;
 use super::response_timeout::ResponseTimeout;
+use super::{Destination, NamedLimit};
 use crate::backend::{BackendBody, PooledConnection, SendError};
 use crate::peer::{self, ProtocolVersion};
 use crate::policy::Helper;
@@ -37,7 +37,8 @@
             Err(_) => return SendOutcome::Unreached("connection attempt timed out".to_owned()),
         };
         connection.set_single_use();
-        connection.set_permit(self.permit());
+        let region = self.gateway.settings.regions.of(&helper.data_centre).cloned();
+        connection.set_permit(self.permit(Destination::Router { region }));
         let allowance = self.allowance(history, version);
         let request = self.request_to_helper(history, last_event, &allowance, version);
         // What is not known of the other router's sends counts as all that it may do.
@@ -151,7 +152,7 @@
         if !parts.read_buf.is_empty() {
             return Err("the other router sent bytes that are no part of the handshake".to_owned());
         }
-        let adopted = gateway.connections.adopt(helper.address, parts.io).await;
+        let adopted = gateway.connections.adopt(helper.address, parts.io, None).await;
         let connection = adopted.map_err(|error| error.to_string())?;
         Ok((connection, peer.version))
     }
--- a/src/gateway/path_sweep.rs
+++ b/src/gateway/path_sweep.rs
@@ -122,6 +122,6 @@
 }
 
 async fn try_server(gateway: &Gateway, server: Arc<ServerState>) -> Tried {
-    let opened = gateway.connections.open(server.vm.address).await;
-    (server, opened.map(drop))
+    let tried = gateway.try_connect(&server).await;
+    (server, tried)
 }
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -116,7 +116,7 @@
         server: &VmName,
         failure: ConnectFailure,
     ) {
-        let servers = gateway.servers.pool(&self.pool);
+        let servers = gateway.servers_in_use(&self.pool);
         let mut monitor = self.monitor.lock().expect("path lock");
         monitor.record_unreached(server, failure, since_start());
         monitor.retain(|name| servers.iter().any(|server| server.vm.name == *name));
@@ -149,7 +149,7 @@
     }
 
     fn state(&self, gateway: &Gateway) -> PathState {
-        let servers = gateway.servers.pool(&self.pool);
+        let servers = gateway.servers_in_use(&self.pool);
         let gap = Duration::from_millis(self.gap.load(Ordering::Relaxed));
         let mut monitor = self.monitor.lock().expect("path lock");
         monitor.retain(|name| servers.iter().any(|server| server.vm.name == *name));
@@ -202,7 +202,7 @@
 
     async fn probe_until_reached(self: Arc<Self>, gateway: Arc<Gateway>) {
         loop {
-            let servers = gateway.servers.pool(&self.pool);
+            let servers = gateway.servers_in_use(&self.pool);
             if servers.is_empty() || self.sweep(&gateway, servers).await {
                 self.record_connected();
                 self.probe_while_narrow(&gateway).await;
@@ -262,7 +262,7 @@
     /// the pool.
     async fn probe_while_narrow(&self, gateway: &Gateway) {
         loop {
-            let servers = gateway.servers.pool(&self.pool);
+            let servers = gateway.servers_in_use(&self.pool);
             let known = self.silent.lock().expect("path lock").clone();
             let is_silent = |server: &&Arc<ServerState>| known.contains(&server.vm.name);
             let silent: Vec<_> = servers.iter().filter(is_silent).cloned().collect();
@@ -294,7 +294,7 @@
             "no server of pool {} can be reached: of {} {evidence}; silent for {} ms, a sound one for up \
              to {} ms; its calls are passed on to other routers",
             self.pool,
-            gateway.servers.pool(&self.pool).len(),
+            gateway.servers_in_use(&self.pool).len(),
             self.silence().as_millis(),
             self.gap.load(Ordering::Relaxed)
         );
--- a/src/gateway/route_permit.rs
+++ b/src/gateway/route_permit.rs
@@ -1,7 +1,8 @@
+use super::Destination;
 use crate::backend::WritePermit;
 use crate::control::{Config, ConfiguredRoute, KeyHash, RouteTable};
 use crate::name::{OrganisationName, PoolName};
-use crate::route::RouterLease;
+use crate::route::{EvacuationCheck, RouterLease};
 use std::sync::Arc;
 
 /// Permission to send one call on a configured route, for the organisation that it began with. It is checked around every write, so that a
@@ -15,6 +16,8 @@
     pool: PoolName,
     key: Option<KeyHash>,
     organisation: Option<OrganisationName>,
+    destination: Destination,
+    evacuation: EvacuationCheck,
 }
 
 impl RoutePermit {
@@ -26,11 +29,17 @@
         pool: PoolName,
         key: Option<KeyHash>,
         organisation: Option<OrganisationName>,
+        destination: Destination,
     ) -> Arc<Self> {
-        Arc::new(Self { lease, revision, route, pool, key, organisation })
+        let evacuation = EvacuationCheck::new(destination.server_centre().cloned());
+        Arc::new(Self { lease, revision, route, pool, key, organisation, destination, evacuation })
     }
 
     fn allows(&self, config: &Config) -> bool {
+        // The server was selected after the call was allowed, so this is asked under the same revision too.
+        if !self.evacuation.allows(config) || !self.allows_region(config) {
+            return false;
+        }
         if config.revision == self.revision {
             return true;
         }
@@ -46,6 +55,12 @@
         route.is_some_and(|route| has_pool(route) && self.may_call(table, route))
     }
 
+    /// Whether the call may be served where it is sent, also once it has begun.
+    fn allows_region(&self, config: &Config) -> bool {
+        let allowed = config.region_rules.of_call(&self.route, self.organisation.as_ref());
+        allowed.contains(self.destination.region())
+    }
+
     /// Whether the key is still that of the call's organisation, or the route needs none.
     fn may_call(&self, table: &RouteTable, route: &ConfiguredRoute) -> bool {
         match &self.key {
@@ -63,6 +78,10 @@
 
 impl WritePermit for RoutePermit {
     fn run_if_permitted(&self, write: &mut dyn FnMut()) -> bool {
-        self.lease.run_if_valid(|config| self.allows(config), write)
+        let mut begin = || {
+            self.evacuation.begin();
+            write();
+        };
+        self.lease.run_if_valid(|config| self.allows(config), &mut begin)
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -6,6 +6,7 @@
 use super::{Gateway, HeaderFormat};
 use crate::error::Error;
 use crate::event::{Event, Journal, run_log_loop};
+use crate::listener::{self, bind_error};
 use crate::peer::PeerIdentity;
 use crate::settings::Settings;
 use crate::signals::Signals;
@@ -28,6 +29,8 @@
 const DRAIN_ANSWER_FRACTION: f64 = 0.9;
 /// How often a router that shuts down checks whether all connections are closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How often the gauges of what is held are set.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs the daemon until it receives a stop signal.
 ///
@@ -36,15 +39,15 @@
 pub async fn run(settings: Settings, format: Arc<dyn HeaderFormat>) -> Result<(), Error> {
     // This comes first: a signal without a handler would end the process.
     let signals = Signals::register()?;
-    let listener = bind(settings.caller_address).await?;
-    let routers = bind(settings.peer_address).await?;
+    let listener = bind(settings.caller_address)?;
+    let routers = bind(settings.peer_address)?;
     let ready = match settings.readiness_address {
-        Some(address) => Some(bind(address).await?),
+        Some(address) => Some(bind(address)?),
         None => None,
     };
     if let Some(address) = settings.metrics_address {
         let handle = install_metrics();
-        let listener = bind(address).await?;
+        let listener = bind(address)?;
         tokio::spawn(serve_status(listener, move |path| metrics_response(&handle, path)));
     }
     let journal = Arc::new(Journal::in_memory(settings.vm.clone()));
@@ -52,6 +55,9 @@
     let data_centre = settings.data_centre.clone();
     journal.record(Event::DaemonStarted { data_centre, durable: false });
     let gateway = Arc::new(Gateway::new(settings, format, journal));
+    if gateway.settings.metrics_address.is_some() {
+        tokio::spawn(report_held(gateway.clone()));
+    }
     gateway.identity.get_or_init(|| identity.clone());
     tokio::spawn(keep_lease(gateway.clone(), identity));
     if let Some(ready) = ready {
@@ -70,6 +76,16 @@
     Ok(())
 }
 
+/// Sets the gauges of what is held, in an endless loop.
+async fn report_held(gateway: Arc<Gateway>) {
+    loop {
+        for (of, budget) in [("answers", &gateway.buffers), ("bodies", &gateway.bodies)] {
+            metrics::gauge!("samphireshift_held_bytes", "of" => of).set(budget.held() as f64);
+        }
+        tokio::time::sleep(GAUGE_INTERVAL).await;
+    }
+}
+
 fn readiness(gateway: &Gateway, path: &str) -> StatusCode {
     match (gateway.format.is_ready_path(path), gateway.is_ready()) {
         (false, _) => StatusCode::NOT_FOUND,
@@ -78,9 +94,11 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
-    let wrap = |cause| Error::Bind { address: address.to_string(), cause };
-    TcpListener::bind(address).await.map_err(wrap)
+fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = listener::bind(address)?;
+    let wrap = |cause| bind_error(address, cause);
+    listener.set_nonblocking(true).map_err(wrap)?;
+    TcpListener::from_std(listener).map_err(wrap)
 }
 
 /// Reports not ready to the load balancer, accepts calls for a while longer, then waits until the
--- a/src/gateway/server_limits.rs
+++ b/src/gateway/server_limits.rs
@@ -2,17 +2,19 @@
 //! one.
 
 use super::NamedLimit;
+use super::cold_news::{ColdCause, ColdNews};
 use super::token_queue::{Grant, Place, TokenQueue, expected_wait};
 use crate::group::since_start;
 use crate::name::{PoolName, VmName};
 use crate::policy::{
-    Admission, LimitChange, LimitDemand, LimitKnowledge, LimitNews, LimitPosition, LocalLimits,
-    ReturnSchedule, SendToken, TokenSource,
+    Admission, ColdServer, LimitChange, LimitDemand, LimitKnowledge, LimitNews, LimitPosition,
+    LocalLimits, ReturnSchedule, SendToken, TokenSource, TurnPlace, WarmUpBounds,
 };
+use crate::vms::Vm;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot};
 
 /// A limit is logged again only if it has changed by more than this fraction.
@@ -26,6 +28,8 @@
     count: AtomicUsize,
     /// Notified when there is something to report to the leader.
     pub news: Notify,
+    /// Servers that are held to be cold, and what the leader is to know of them.
+    pub cold: ColdNews,
 }
 
 #[derive(Debug)]
@@ -132,7 +136,12 @@
             returns: HashMap::new(),
             logged: HashMap::new(),
         };
-        Self { inner: Mutex::new(inner), count: AtomicUsize::new(0), news: Notify::new() }
+        Self {
+            inner: Mutex::new(inner),
+            count: AtomicUsize::new(0),
+            news: Notify::new(),
+            cold: ColdNews::default(),
+        }
     }
 }
 
@@ -142,7 +151,10 @@
     }
 
     fn update_count(&self, inner: &Inner) {
-        let (limited, warming) = (inner.local.count(), inner.local.warming_count());
+        let warm_ups = inner.local.warm_ups();
+        let (limited, warming) = (inner.local.count(), warm_ups.count());
+        let presumed = warm_ups.presumed_count();
+        metrics::gauge!("samphireshift_presumed_cold_servers").set(presumed as f64);
         if self.count.swap(limited + warming, Ordering::Relaxed) != limited + warming {
             metrics::gauge!("samphireshift_limited_servers").set(limited as f64);
             metrics::gauge!("samphireshift_warming_servers").set(warming as f64);
@@ -179,6 +191,61 @@
         }
     }
 
+    /// Sets what a cold server may get.
+    pub fn set_bounds(&self, bounds: WarmUpBounds) {
+        self.lock().local.warm_ups_mut().set_bounds(bounds);
+    }
+
+    /// Sets this router's place in the order of turns, if the leader knows it.
+    pub fn set_place(&self, place: Option<TurnPlace>) {
+        self.lock().local.warm_ups_mut().set_place(place);
+    }
+
+    /// Takes in the leader's time, by which turns are laid out, from the answer to what was asked at
+    /// `asked_at`.
+    pub fn hear_time(&self, asked_at: Duration, leader_time: Duration) {
+        self.lock().local.warm_ups_mut().hear_time(since_start(), asked_at, leader_time);
+    }
+
+    /// Holds servers to be cold for a while. Those of pools without a rate take any number of calls.
+    pub fn presume_cold<'a, I>(&self, servers: I, cause: ColdCause)
+    where
+        I: IntoIterator<Item = &'a Vm>,
+    {
+        if !self.cold.has_rates() {
+            return;
+        }
+        let now = since_start();
+        let (mut inner, mut count) = (self.lock(), 0);
+        let warm_ups = inner.local.warm_ups_mut();
+        warm_ups.set_day_offset(day_offset(now));
+        for vm in servers {
+            let Some(rate) = self.cold.rate(&vm.pool) else { continue };
+            let (lasts, until_told) = (cause.lasts(), cause.ends_when_told());
+            count += u32::from(warm_ups.presume(now, &vm.name, rate, lasts, until_told));
+            if cause.is_reported() {
+                let server = vm.name.clone();
+                let sign = cause.sign();
+                self.cold.report(now, ColdServer { server, rate, lasts, sign });
+            }
+        }
+        self.update_count(&inner);
+        drop(inner);
+        if count > 0 {
+            log::info!("{count} servers are held to be cold: {cause}");
+            metrics::counter!("samphireshift_presumed_cold_total", "cause" => cause.label())
+                .increment(count.into());
+        }
+    }
+
+    /// Takes in that a server says, in the answer to a call sent at `sent_at`, that it is warm.
+    pub fn hear_warm(&self, server: &VmName, sent_at: Instant) {
+        if self.is_any() {
+            let sent_at = since_start().saturating_sub(sent_at.elapsed());
+            self.lock().local.warm_ups_mut().hear_warm(sent_at, server);
+        }
+    }
+
     /// Whether a call may be sent to a server now.
     pub fn admission(&self, server: &VmName) -> Admission {
         match self.is_any() {
@@ -274,8 +341,10 @@
         let now = since_start();
         let mut inner = self.lock();
         let inner = &mut *inner;
+        inner.local.warm_ups_mut().expire(now);
         inner.queue.hand_out(now, &mut inner.local);
         inner.queue.give_up_late(now, &inner.local);
+        self.update_count(inner);
     }
 
     /// The state of the limits that the leader told last.
@@ -295,6 +364,7 @@
         let now = since_start();
         let mut inner = self.lock();
         let inner = &mut *inner;
+        inner.local.warm_ups_mut().set_day_offset(day_offset(now));
         if inner.local.apply(now, asked_at, news) {
             self.news.notify_one();
         }
@@ -326,6 +396,12 @@
     }
 }
 
+/// How far this machine's time of day is ahead of `now`.
+fn day_offset(now: Duration) -> Duration {
+    let day = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    day.saturating_sub(now)
+}
+
 impl Inner {
     fn log_changes(&mut self) {
         for change in self.local.take_changes() {
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -1,8 +1,10 @@
 use super::ReportedLoad;
 use super::leaving_servers::LeavingServers;
+use super::server_selection::stable_hash;
 use super::standing::Standing;
-use crate::name::{PoolName, VmName};
-use crate::policy::{ConnectFailure, Helper};
+use crate::group::since_start;
+use crate::name::{DataCentre, PoolName, VmName};
+use crate::policy::{ConnectFailure, Helper, ServerLoad, WorkPace};
 use crate::vms::{Vm, VmState};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, RwLock};
@@ -27,6 +29,8 @@
     pub vm: Vm,
     /// Shared with the state of an earlier entry for the same server.
     inner: Arc<Mutex<Inner>>,
+    /// A hash of the server's name that is the same in all routers.
+    pub hash: u64,
 }
 
 #[derive(Debug, Default)]
@@ -34,6 +38,8 @@
     own_calls: u32,
     pending_tokens: u64,
     report: Option<ReportedLoad>,
+    reported_at: Option<Instant>,
+    pace: WorkPace,
     since_report: i64,
     slowness: f64,
     failure_rate: f64,
@@ -65,12 +71,21 @@
     pub failure_rate: f64,
     /// Whether the server may get calls.
     pub standing: Standing,
+    /// Calls that run or wait at the server by its last load report, and how old that is.
+    pub reported: Option<(f64, Duration)>,
+    /// Calls of this router sent since that report, less those that have ended.
+    pub since_report: f64,
+    /// Calls of this router at the server.
+    pub own_calls: f64,
+    /// How long work takes at the server.
+    pub pace: WorkPace,
 }
 
 impl ServerState {
     fn new(vm: Vm) -> Self {
         let inner = Inner { slowness: 1.0, ..Inner::default() };
-        Self { vm, inner: Arc::new(Mutex::new(inner)) }
+        let hash = stable_hash(vm.name.as_str());
+        Self { vm, inner: Arc::new(Mutex::new(inner)), hash }
     }
 
     /// The state of a call that is passed on to another router, as if that were a server.
@@ -89,7 +104,7 @@
     /// The state under a changed entry in the VM list. A server at another address is a new one.
     fn with_entry(&self, vm: &Vm) -> Option<Self> {
         let same = self.vm.name == vm.name && self.vm.address == vm.address;
-        same.then(|| Self { vm: vm.clone(), inner: self.inner.clone() })
+        same.then(|| Self { vm: vm.clone(), inner: self.inner.clone(), hash: self.hash })
     }
 
     /// The state of the server now.
@@ -106,6 +121,27 @@
             slowness: inner.slowness,
             failure_rate: inner.failure_rate,
             standing: Standing::new(inner.pause_count, inner.paused_until),
+            reported: reported.zip(inner.reported_at.map(|at| at.elapsed())),
+            since_report: since,
+            own_calls,
+            pace: inner.pace,
+        }
+    }
+
+    /// The load of the server now, for the decision who is sent to its pool.
+    pub fn load(&self) -> ServerLoad {
+        let snapshot = self.snapshot();
+        let inner = self.inner.lock().expect("server lock");
+        // What was sent since then waits behind those.
+        let since = inner.since_report.max(0) as f64;
+        let waiting = inner.report.map_or(0, |load| load.waiting);
+        let waiting = if waiting > 0 { f64::from(waiting) + since } else { 0.0 };
+        ServerLoad {
+            busy: snapshot.busy,
+            waiting,
+            slots: snapshot.slots,
+            own_calls: f64::from(inner.own_calls),
+            age: inner.reported_at.map(|at| at.elapsed()),
         }
     }
 
@@ -146,6 +182,11 @@
         }
     }
 
+    /// Whether the server has failed and not answered since.
+    pub fn is_failing(&self) -> bool {
+        self.inner.lock().expect("server lock").pause_count > 0
+    }
+
     /// How much longer the server wants to be sent nothing; zero if it takes calls.
     pub fn backoff_left(&self) -> Duration {
         let backoff_until = self.inner.lock().expect("server lock").backoff_until;
@@ -183,6 +224,25 @@
         parts[cached_count..].iter().map(|part| u64::from(part.1)).sum()
     }
 
+    /// Calls `work` with a function that tells how long ago this router sent the server a prompt part.
+    pub fn with_part_ages<F, T>(&self, work: F) -> T
+    where
+        F: FnOnce(&dyn Fn(u64) -> Option<Duration>) -> T,
+    {
+        let inner = self.inner.lock().expect("server lock");
+        work(&|id| inner.cached_parts.get(&id).map(Instant::elapsed))
+    }
+
+    /// Records how long work takes at the server at this moment, by its own word.
+    pub fn record_pace(&self, pace: f64) {
+        self.inner.lock().expect("server lock").pace.read(pace, since_start());
+    }
+
+    /// Records an answer that took `ratio` times as long as expected at the pace that the server named.
+    pub fn record_time_ratio(&self, ratio: f64) {
+        self.inner.lock().expect("server lock").pace.observe(ratio, since_start());
+    }
+
     /// Records that a call is sent to the server.
     pub fn begin_call(
         self: &Arc<Self>,
@@ -207,6 +267,7 @@
     pub fn record_load(&self, load: ReportedLoad) {
         let mut inner = self.inner.lock().expect("server lock");
         inner.report = Some(load);
+        inner.reported_at = Some(Instant::now());
         inner.since_report = 0;
     }
 
@@ -285,8 +346,8 @@
     }
 
     /// Replaces the VM list. Servers that stay at their address keep their state; those that are
-    /// known to be leaving are left out.
-    pub fn replace_list(&self, vms: &[Vm]) {
+    /// known to be leaving are left out. Returns the servers that are new, unless it is the first list.
+    pub fn replace_list(&self, vms: &[Vm]) -> Vec<Vm> {
         let mut list = self.list.write().expect("server table lock");
         let list = &mut *list;
         let live: HashSet<&VmName> =
@@ -296,7 +357,7 @@
         let known = known.into_values().flatten().chain(std::mem::take(&mut list.pausing));
         let known: HashMap<VmName, Arc<ServerState>> =
             known.map(|server| (server.vm.name.clone(), server)).collect();
-        let mut names = HashSet::new();
+        let (mut names, mut new) = (HashSet::new(), Vec::new());
         for vm in vms.iter().filter(|vm| vm.state == VmState::Live) {
             if !names.insert(&vm.name) || list.leaving.contains(&vm.name) {
                 continue;
@@ -307,14 +368,19 @@
                     let changed = server.with_entry(vm);
                     Arc::new(changed.unwrap_or_else(|| ServerState::new(vm.clone())))
                 }
-                None => Arc::new(ServerState::new(vm.clone())),
+                None => {
+                    new.push(vm.clone());
+                    Arc::new(ServerState::new(vm.clone()))
+                }
             };
             list.pools.entry(vm.pool.clone()).or_default().push(server);
         }
         let unlisted = known.into_iter().filter(|(name, _)| !names.contains(name));
         let pausing = unlisted.filter(|(_, server)| !server.backoff_left().is_zero());
         list.pausing = pausing.map(|(_, server)| server).collect();
-        list.known = true;
+        let was_known = std::mem::replace(&mut list.known, true);
+        new.retain(|_| was_known);
+        new
     }
 
     /// Takes a server that has said that it is leaving out of its pool. Returns whether that is new.
@@ -340,11 +406,11 @@
         list.leaving.still_listed().cloned().collect()
     }
 
-    /// How long until a server of the pool takes calls again, if all of them have asked to be sent
-    /// nothing for now.
-    pub fn pool_backoff_left(&self, pool: &PoolName) -> Option<Duration> {
-        let shortest = self.pool(pool).iter().map(|server| server.backoff_left()).min();
-        shortest.filter(|left| !left.is_zero())
+    /// The live servers of a data centre.
+    pub fn in_data_centre(&self, data_centre: &DataCentre) -> Vec<Arc<ServerState>> {
+        let list = self.list.read().expect("server table lock");
+        let servers = list.pools.values().flatten();
+        servers.filter(|server| server.vm.data_centre == *data_centre).cloned().collect()
     }
 
     /// The live servers of a pool.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,12 @@
+use super::cold_news::ColdCause;
+use super::connection_room::ConnectionShares;
 use super::helper_list::HelperList;
+use super::model_servers::ModelServers;
 use super::part_watch::PartWatch;
 use super::paths::Paths;
+use super::placement::Placement;
 use super::response_timeout::SilenceTracker;
+use super::room::Rooms;
 use super::server_limits::ServerLimits;
 use super::server_table::ServerTable;
 use super::sessions::Sessions;
@@ -26,10 +31,9 @@
 /// Time limit for connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The most bytes of responses that are held at the same time, for routers with 160 MB of memory.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
-/// Bytes of the bodies of calls that are held at the same time.
-const MAX_BODY_BYTES: usize = 48 << 20;
+/// The part of all bytes held that is for answers. The bodies of calls have the rest: a flood of
+/// them takes none of the room that answers need to leave by.
+const ANSWER_FRACTION: f64 = 0.4;
 
 /// Records of calls that were passed on to other routers, which nobody reads: they count there.
 #[derive(Debug, Default)]
@@ -50,18 +54,28 @@
     pub journal: Arc<Journal>,
     /// The router's lease, with the configuration.
     pub lease: Arc<RouterLease>,
+    /// The revision of that configuration, for calls that wait.
+    pub installed: watch::Sender<u64>,
     /// The connection pool for backend servers.
     pub connections: ConnectionPool,
+    /// This router's part of the connections that servers accept.
+    pub shares: ConnectionShares,
     /// The backend servers and their state.
     pub servers: ServerTable,
     /// The limits that servers name.
     pub limits: Arc<ServerLimits>,
+    /// The work of the models of each pool.
+    pub models: ModelServers,
+    /// Overload gates of the pools.
+    pub rooms: Rooms,
     /// The version that last served each session.
     pub sessions: Sessions,
     /// Call results by version, reported to the voters.
     pub tallies: Arc<Tallies>,
     /// Whether the servers of each pool can be reached.
     pub paths: Paths,
+    /// What is learned of the servers of each pool.
+    pub placement: Arc<Placement>,
     /// Other routers, for calls to pools that cannot be reached.
     pub helpers: HelperList,
     /// What is recorded of calls that were passed on; it counts at the other router only.
@@ -72,7 +86,7 @@
     pub parts: Arc<PartWatch>,
     /// Gives each request its id.
     pub hasher: RequestHasher,
-    /// Limits the bytes of responses that are held at the same time.
+    /// The budget that the bytes held of answers count towards.
     pub buffers: Arc<ByteBudget>,
     /// The budget that the bodies of calls count towards.
     pub bodies: Arc<ByteBudget>,
@@ -95,23 +109,31 @@
 impl Gateway {
     /// Creates a router without a lease, configuration or servers.
     pub fn new(settings: Settings, format: Arc<dyn HeaderFormat>, journal: Arc<Journal>) -> Self {
+        let limits = Arc::<ServerLimits>::default();
+        let answer_bytes = (settings.held_limit as f64 * ANSWER_FRACTION) as usize;
+        limits.set_bounds(settings.fleet_limits.warm_up);
         Self {
             format,
             journal,
             lease: Arc::default(),
-            connections: ConnectionPool::new(CONNECT_TIMEOUT),
+            installed: watch::Sender::new(0),
+            connections: ConnectionPool::new(CONNECT_TIMEOUT).with_buffers(settings.socket_buffer),
+            shares: ConnectionShares::new(),
             servers: ServerTable::default(),
-            limits: Arc::default(),
+            limits,
+            models: ModelServers::default(),
+            rooms: Rooms::default(),
             sessions: Sessions::new(settings.fleet_limits.session_timeout * 2),
             tallies: Arc::default(),
             paths: Paths::default(),
+            placement: Arc::default(),
             helpers: HelperList::default(),
             passed_on: PassedOn::default(),
             identity: OnceLock::new(),
             parts: Arc::default(),
             hasher: RequestHasher::new(&settings.cluster_secret),
-            buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
-            bodies: ByteBudget::new(MAX_BODY_BYTES),
+            buffers: ByteBudget::new(answer_bytes),
+            bodies: ByteBudget::new(settings.held_limit - answer_bytes),
             silence: Mutex::default(),
             closed: AtomicBool::new(false),
             ending: watch::Sender::new(false),
@@ -185,9 +207,10 @@
 
     /// Replaces the VM list.
     pub(super) fn replace_vms(&self, vms: &[Vm]) {
-        self.servers.replace_list(vms);
+        let new = self.servers.replace_list(vms);
         let listed: HashSet<&VmName> = vms.iter().map(|vm| &vm.name).collect();
         self.limits.retain(|server| listed.contains(server));
+        self.limits.presume_cold(&new, ColdCause::New);
     }
 
     /// Counts a call to a pool towards its retry budget.
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -75,8 +75,7 @@
             }
         }
         if let Some(exchange) = &mut relay.exchange {
-            call.record_response_time(exchange.elapsed());
-            exchange.response_started();
+            exchange.response_started(&call);
         }
         Ok(relay)
     }
@@ -190,6 +189,9 @@
             }
             return Err(io::Error::other("the stream ended inside an event or before the first"));
         }
+        if !exchange.is_passed_on() {
+            self.call.record_whole(exchange.sent_at().elapsed(), exchange.turns);
+        }
         exchange.finish();
         let remainder = self.splitter.remainder();
         Ok((!remainder.is_empty()).then_some(remainder))
--- a/src/gateway/tallies.rs
+++ b/src/gateway/tallies.rs
@@ -74,6 +74,7 @@
     started: Instant,
     baseline_ms: f64,
     latency_recorded: bool,
+    ignores_intervals: bool,
     timing: Option<EventTiming>,
 }
 
@@ -123,6 +124,7 @@
             started,
             baseline_ms,
             latency_recorded: false,
+            ignores_intervals: false,
             timing: None,
         }
     }
@@ -195,8 +197,16 @@
         self.tallies.update(&self.key, |tally| tally.first_ratio.observe(latency_ratio));
     }
 
+    /// The time between the events of this call tells nothing of the version.
+    pub fn ignore_intervals(&mut self) {
+        self.ignores_intervals = true;
+    }
+
     /// Records that events up to the one with this id have arrived.
     pub fn event_received(&mut self, event: u64) {
+        if self.ignores_intervals {
+            return;
+        }
         match &mut self.timing {
             None => self.timing = Some(EventTiming::new(event)),
             Some(timing) if !timing.recorded => {
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -1,15 +1,13 @@
-use super::shared::{Envelope, GroupOptions, GroupStatus, Input, Shared, SubmitError};
-use super::write_retry::{abort_process, retry_until_written};
+use super::shared::{Envelope, GroupOptions, GroupStatus, Input, Shared, StoreEvent, SubmitError};
+use super::store_thread::{StoreOptions, StoreThread, StoreWork, StoreWrite};
 use super::{GroupId, ReplicatedState, since_start};
 use crate::consensus::{Entry, Log, Message, Output, Payload, ProposeError, Raft, Role, Snapshot};
 use crate::event::{Event, Journal};
-use crate::storage::{GroupStore, StorageError};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::thread::JoinHandle;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
@@ -43,7 +41,8 @@
 pub struct Driver {
     id: GroupId,
     raft: Raft,
-    store: Option<GroupStore>,
+    /// `None` on a diskless VM, where everything counts as synced at once.
+    store: Option<StoreThread>,
     inbox: Receiver<Input>,
     outbox: mpsc::UnboundedSender<Envelope>,
     shared: Arc<Shared>,
@@ -61,14 +60,24 @@
     served_term: Option<u64>,
     /// Whether this member is asking for pre-votes.
     campaigning: bool,
-    /// The thread that stores the latest snapshot.
-    snapshot_job: Option<JoinHandle<Result<Snapshot, StorageError>>>,
+    /// Whether the disk had stalled when this was last looked at, so that it is logged once.
+    stalled: bool,
+    /// Whether a snapshot is being stored.
+    storing_snapshot: bool,
+    /// A stored snapshot that the log is to be compacted up to.
+    stored_snapshot: Option<Snapshot>,
     /// No snapshot is taken before this time, set after a failed attempt to store one.
     snapshot_after: Option<Duration>,
 }
 
 impl Driver {
-    pub fn new(options: GroupOptions, inbox: Receiver<Input>, shared: Arc<Shared>) -> Self {
+    /// A driver that receives the reports of its own storage thread through `reports`.
+    pub fn new(
+        options: GroupOptions,
+        reports: Sender<Input>,
+        inbox: Receiver<Input>,
+        shared: Arc<Shared>,
+    ) -> Self {
         let (store, recovered) = match options.store {
             Some((store, recovered)) => (Some(store), recovered),
             None => (None, Default::default()),
@@ -78,6 +87,12 @@
             restore_state(&shared, snapshot);
             applied = snapshot.index;
         }
+        let spawn = |store| {
+            let (id, slow_after) = (options.id, options.timing.heartbeat_interval);
+            let outbox = options.outbox.clone();
+            StoreThread::spawn(StoreOptions { id, store, slow_after, outbox, reports })
+        };
+        let store = store.map(spawn);
         let log = Log::new(recovered.snapshot, recovered.entries);
         let seed = rand::random();
         let (now, hard_state) = (since_start(), recovered.hard_state);
@@ -97,7 +112,9 @@
             leadership: None,
             served_term: None,
             campaigning: false,
-            snapshot_job: None,
+            stalled: false,
+            storing_snapshot: false,
+            stored_snapshot: None,
             snapshot_after: None,
         }
     }
@@ -113,7 +130,6 @@
             batch.extend(self.inbox.try_iter().take(MAX_BATCH_INPUTS));
             for input in batch {
                 if matches!(input, Input::Stop) {
-                    self.finish_snapshot();
                     return;
                 }
                 self.handle_input(input);
@@ -142,10 +158,25 @@
             Input::TransferLeadership => {
                 self.raft.transfer_leadership();
             }
+            Input::Store(event) => self.on_store_event(event),
             Input::Stop => {}
         }
     }
 
+    fn on_store_event(&mut self, event: StoreEvent) {
+        match event {
+            StoreEvent::Persisted(write) => self.raft.on_persisted(write),
+            StoreEvent::SnapshotStored(snapshot) => {
+                self.storing_snapshot = false;
+                self.stored_snapshot = Some(snapshot);
+            }
+            StoreEvent::SnapshotNotStored => {
+                self.storing_snapshot = false;
+                self.snapshot_after = Some(since_start() + SNAPSHOT_RETRY_DELAY);
+            }
+        }
+    }
+
     fn submit(&mut self, command: Bytes, reply: oneshot::Sender<Result<Bytes, SubmitError>>) {
         match self.raft.propose(command) {
             Ok((index, term)) => {
@@ -169,40 +200,52 @@
     }
 
     fn process_output(&mut self, output: Output) {
-        let needs_sync = output.needs_sync();
         // The lease has to be withdrawn before a message is sent that lets others elect a leader.
         self.publish_lease();
         self.send_messages(output.immediate);
-        if let Some(hard_state) = output.hard_state
-            && let Some(store) = &mut self.store
-        {
-            store.put_hard_state(hard_state);
-        }
         if let Some(snapshot) = &output.snapshot {
-            self.finish_snapshot();
             restore_state(&self.shared, snapshot);
             self.applied = snapshot.index;
-            retry_until_written(self.store.as_mut(), |store| store.compact(snapshot, &[]));
         }
-        if let Some(store) = &mut self.store {
-            store.put_entries(&output.entries);
-        }
-        if needs_sync {
-            retry_until_written(self.store.as_mut(), GroupStore::sync);
+        let Some(store) = &self.store else {
+            if let Some(write) = output.write {
+                self.raft.on_persisted(write);
+            }
+            self.send_messages(output.after_sync);
+            self.apply_all(output.committed);
+            return;
+        };
+        if let Some(snapshot) = output.snapshot {
+            store.queue(StoreWork::Install(output.hard_state, snapshot));
         }
-        if needs_sync {
-            self.raft.on_persisted();
+        match self.raft.is_synced() {
+            // Nothing is written, so the messages wait for nothing.
+            true => self.send_messages(output.after_sync),
+            false if output.write.is_none() && output.after_sync.is_empty() => {}
+            false => store.queue(StoreWork::Write(StoreWrite {
+                number: output.write,
+                hard_state: output.hard_state,
+                entries: output.entries,
+                messages: self.envelopes(output.after_sync),
+            })),
         }
-        self.send_messages(output.after_sync);
-        for entry in output.committed {
+        self.apply_all(output.committed);
+    }
+
+    fn apply_all(&mut self, committed: Vec<Entry>) {
+        for entry in committed {
             self.apply(entry);
         }
     }
 
+    fn envelopes(&self, messages: Vec<Message>) -> Vec<Envelope> {
+        messages.into_iter().map(|message| Envelope { group: self.id, message }).collect()
+    }
+
     fn send_messages(&self, messages: Vec<Message>) {
-        for message in messages {
+        for envelope in self.envelopes(messages) {
             // The receiver is dropped only while the daemon shuts down.
-            let _ = self.outbox.send(Envelope { group: self.id, message });
+            let _ = self.outbox.send(envelope);
         }
     }
 
@@ -230,15 +273,14 @@
         }
     }
 
-    /// Takes a snapshot if one is due. It is written to disk on a separate thread, so that heartbeats
-    /// and commits continue meanwhile.
+    /// Compacts the log up to a snapshot that is stored, and takes the next one if it is due. It is
+    /// stored on a separate thread, so that heartbeats and commits continue meanwhile.
     fn maybe_snapshot(&mut self) {
-        if self.snapshot_job.as_ref().is_some_and(|job| !job.is_finished()) {
-            return;
+        if let Some(snapshot) = self.stored_snapshot.take() {
+            self.compact_log(snapshot);
         }
-        self.finish_snapshot();
         let delayed = self.snapshot_after.is_some_and(|until| since_start() < until);
-        if delayed || !self.snapshot_due() {
+        if delayed || self.storing_snapshot || !self.snapshot_due() {
             return;
         }
         let data = self.shared.state.read().expect("state lock poisoned").snapshot();
@@ -247,40 +289,22 @@
             self.compact_log(snapshot);
             return;
         };
-        let file = store.snapshot_file();
-        let work = move || file.write(&snapshot).map(|()| snapshot);
-        let builder = std::thread::Builder::new().name("snapshot".to_owned());
-        self.snapshot_job = Some(builder.spawn(work).expect("failed to start the snapshot thread"));
+        self.storing_snapshot = true;
+        store.queue(StoreWork::StoreSnapshot(snapshot));
     }
 
     /// Whether the log is long enough to take a snapshot, and not too short compared with the size
-    /// of the snapshot that would replace it.
+    /// of the snapshot that would replace it. A snapshot holds only what is synced in the log.
     fn snapshot_due(&self) -> bool {
         let log = self.raft.log();
         let entries = self.applied.saturating_sub(log.snapshot_index());
         let long_enough = entries >= self.snapshot_entries || log.size() >= SNAPSHOT_LOG_BYTES;
         entries > 0
+            && self.applied <= self.raft.persisted_index()
             && long_enough
             && log.size() * MAX_SNAPSHOT_LOG_RATIO >= log.snapshot().data.len()
     }
 
-    /// Waits until the snapshot that is being stored, if any, is complete, and compacts the log up
-    /// to it.
-    fn finish_snapshot(&mut self) {
-        let Some(job) = self.snapshot_job.take() else { return };
-        match job.join().expect("the snapshot thread panicked") {
-            Ok(snapshot) => self.compact_log(snapshot),
-            Err(StorageError::NotWritten { path, cause }) => {
-                self.snapshot_after = Some(since_start() + SNAPSHOT_RETRY_DELAY);
-                log::warn!(
-                    "{}: failed to store a snapshot, a new one will be taken later: {cause}",
-                    path.display()
-                );
-            }
-            Err(error) => abort_process(&error),
-        }
-    }
-
     /// Replaces the log up to a stored snapshot, on disk and in memory, unless the log already starts
     /// from a newer one.
     fn compact_log(&mut self, snapshot: Snapshot) {
@@ -293,7 +317,9 @@
             true => log.range(snapshot.index + 1, last).to_vec(),
             false => Vec::new(),
         };
-        retry_until_written(self.store.as_mut(), |store| store.compact_log(&snapshot, &tail));
+        if let Some(store) = &self.store {
+            store.queue(StoreWork::Compact(snapshot.clone(), tail));
+        }
         let (group, index) = (self.id.to_string(), snapshot.index);
         self.raft.compact(snapshot);
         self.journal.record(Event::SnapshotTaken { group, index });
@@ -372,6 +398,13 @@
             log::info!("{id}: no leader is heard of; asks for pre-votes after term {term}");
         }
         self.campaigning = campaigning;
+        let stalled = self.raft.is_disk_stalled();
+        if stalled && !self.stalled {
+            log::error!(
+                "{id}: the disk has stalled; this member hands leadership over and, as a follower, answers no more"
+            );
+        }
+        self.stalled = stalled;
         if self.served_term != Some(term) && self.raft.may_serve_reads(since_start()) {
             self.served_term = Some(term);
             log::info!("serves reads of {id} in term {term} from entry {}", self.applied);
--- a/src/group/handle.rs
+++ b/src/group/handle.rs
@@ -30,7 +30,7 @@
             applied: watch::Sender::new(0),
         });
         let (id, member) = (options.id, options.member);
-        let driver = Driver::new(options, inbox, shared.clone());
+        let driver = Driver::new(options, input.clone(), inbox, shared.clone());
         let builder = std::thread::Builder::new().name(id.to_string());
         let thread =
             builder.spawn(move || driver.run()).expect("failed to start the thread of a group");
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -1,11 +1,12 @@
 //! Runs one replicated group: a thread that drives the [`crate::consensus::Raft`] state machine,
-//! syncs its writes to disk, sends its messages and applies committed entries.
+//! sends its messages and applies committed entries, and a second thread that syncs its writes.
 
 mod driver;
 mod group_id;
 mod handle;
 mod replicated_state;
 mod shared;
+mod store_thread;
 mod time;
 mod write_retry;
 
--- a/src/group/replicated_state.rs
+++ b/src/group/replicated_state.rs
@@ -1,6 +1,7 @@
 use crate::control::ControlState;
 use crate::ledger::LedgerState;
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 /// A committed command or a snapshot could not be decoded. This indicates a bug or corrupted data;
@@ -35,13 +36,20 @@
         Ok(outcome?.into())
     }
 
-    /// Serialises the whole state. The blocked parts follow the control state, then the blocked requests
-    /// and the versions of pools: builds that do not know them leave them unread.
+    /// Serialises the whole state. The blocked parts follow the control state, then the blocked
+    /// requests, the versions of pools, the evacuations and, if there are any, the rules on
+    /// regions: builds that do not know them leave them unread.
     pub fn snapshot(&self) -> Bytes {
         let bytes = match self {
             ReplicatedState::Control(state) => {
                 let blocked = state.blocked_parts();
-                postcard::to_stdvec(&(state, blocked, &blocked.requests, state.pool_versions()))
+                let evacuations = (&state.config().evacuated, state.ordered_centres());
+                let versions = state.pool_versions();
+                let known = (state, blocked, &blocked.requests, versions, evacuations);
+                match &state.config().region_rules {
+                    rules if rules.is_empty() => postcard::to_stdvec(&known),
+                    rules => postcard::to_stdvec(&(known, rules.as_ref())),
+                }
             }
             ReplicatedState::Ledger(state) => postcard::to_stdvec(state),
         };
@@ -55,22 +63,38 @@
     pub fn restore(&mut self, data: &[u8]) -> Result<(), StateDecodeError> {
         match self {
             ReplicatedState::Control(state) => {
-                let (restored, rest): (ControlState, _) = postcard::take_from_bytes(data)?;
-                *state = restored;
-                if !rest.is_empty() {
-                    let (blocked, rest) = postcard::take_from_bytes(rest)?;
-                    state.blocked_parts = blocked;
-                    if !rest.is_empty() {
-                        let (requests, rest) = postcard::take_from_bytes(rest)?;
-                        state.blocked_parts.requests = requests;
-                        if !rest.is_empty() {
-                            state.pool_versions = postcard::from_bytes(rest)?;
-                        }
-                    }
-                }
+                *state = restore_control(data)?;
             }
             ReplicatedState::Ledger(state) => *state = postcard::from_bytes(data)?,
         }
         Ok(())
     }
 }
+
+/// Reads the control state, and what follows it as far as the build that wrote it knew that.
+fn restore_control(data: &[u8]) -> Result<ControlState, StateDecodeError> {
+    let (mut state, rest): (ControlState, _) = postcard::take_from_bytes(data)?;
+    let Some((blocked, rest)) = take_next(rest)? else { return Ok(state) };
+    state.blocked_parts = blocked;
+    let Some((requests, rest)) = take_next(rest)? else { return Ok(state) };
+    state.blocked_parts.requests = requests;
+    let Some((versions, rest)) = take_next(rest)? else { return Ok(state) };
+    state.pool_versions = versions;
+    let Some(((evacuated, ordered), rest)) = take_next(rest)? else { return Ok(state) };
+    state.restore_evacuated(evacuated);
+    state.ordered_centres = ordered;
+    let Some((rules, _)) = take_next(rest)? else { return Ok(state) };
+    state.restore_region_rules(rules);
+    Ok(state)
+}
+
+/// The next value and the bytes after it; `None` at the end.
+fn take_next<T>(rest: &[u8]) -> Result<Option<(T, &[u8])>, StateDecodeError>
+where
+    T: DeserializeOwned,
+{
+    match rest.is_empty() {
+        true => Ok(None),
+        false => Ok(Some(postcard::take_from_bytes(rest)?)),
+    }
+}
--- a/src/group/shared.rs
+++ b/src/group/shared.rs
@@ -1,7 +1,7 @@
 //! What a group's thread and its handle exchange.
 
 use super::{GroupId, ReplicatedState};
-use crate::consensus::{MemberId, Members, Message, ProposeError, Timing};
+use crate::consensus::{MemberId, Members, Message, ProposeError, Snapshot, Timing, WriteNumber};
 use crate::event::Journal;
 use crate::storage::{GroupStore, RecoveredState};
 use bytes::Bytes;
@@ -34,6 +34,17 @@
     LeadershipLost,
 }
 
+/// What the storage thread of a group reports.
+#[derive(Debug)]
+pub(super) enum StoreEvent {
+    /// A write and all earlier ones are synced, and their messages sent.
+    Persisted(WriteNumber),
+    /// A snapshot is stored; the log may now be compacted up to it.
+    SnapshotStored(Snapshot),
+    /// A snapshot could not be stored; the earlier one is intact.
+    SnapshotNotStored,
+}
+
 /// Inputs of a group's thread.
 pub(super) enum Input {
     /// A message from another member.
@@ -45,6 +56,8 @@
     /// Bootstraps the group; ignored if the log is not empty.
     Bootstrap(Members),
     TransferLeadership,
+    /// Says how far the group's storage got.
+    Store(StoreEvent),
     Stop,
 }
 
--- a/src/group/write_retry.rs
+++ b/src/group/write_retry.rs
@@ -7,12 +7,11 @@
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Retries a write until it succeeds, for example while the disk is full. Meanwhile this member
-/// sends no messages, so other members take over and it acknowledges nothing that is not stored.
-pub fn retry_until_written<F>(store: Option<&mut GroupStore>, mut write: F)
+/// acknowledges nothing that is not stored.
+pub fn retry_until_written<F>(store: &mut GroupStore, mut write: F)
 where
     F: FnMut(&mut GroupStore) -> Result<(), StorageError>,
 {
-    let Some(store) = store else { return };
     let mut failures = 0;
     loop {
         match write(store) {
--- a/src/inbound.rs
+++ b/src/inbound.rs
@@ -1,8 +1,10 @@
 //! Connections of callers and operators, which end once their peer sends bytes that come to nothing.
 
+use crate::held_answers::CallerReader;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use socket2::SockRef;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -26,6 +28,8 @@
     progress: Progress,
     /// The most bytes without progress.
     limit: u64,
+    /// What is held for the peer; `None` where nothing is counted.
+    reader: Option<Arc<CallerReader>>,
 }
 
 /// The body of a request, each part of which is progress.
@@ -47,7 +51,28 @@
     /// arrives on it.
     pub fn new(stream: TcpStream, buffer_bytes: usize, progress: Progress) -> Self {
         let limit = (buffer_bytes * BUFFERS_WITHOUT_PROGRESS) as u64;
-        Self { stream, progress, limit }
+        Self { stream, progress, limit, reader: None }
+    }
+
+    /// Tells `reader` of what the peer takes. The connection is reset if that is ended.
+    pub fn read_by(mut self, reader: Arc<CallerReader>) -> Self {
+        self.reader = Some(reader);
+        self
+    }
+
+    /// The most that the kernel holds of what was written, with what it needs to manage it.
+    fn send_buffer_bytes(&self) -> usize {
+        SockRef::from(&self.stream).send_buffer_size().unwrap_or_else(|error| {
+            log::debug!("the size of a connection's send buffer is not known: {error}");
+            0
+        })
+    }
+
+    fn written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Some(reader) = &self.reader {
+            reader.record_write(&written, || self.send_buffer_bytes());
+        }
+        written
     }
 }
 
@@ -59,6 +84,16 @@
     }
 }
 
+impl Drop for InboundStream {
+    fn drop(&mut self) {
+        if self.reader.as_ref().is_some_and(|reader| reader.is_ended())
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::debug!("a connection's unsent bytes may stay for a while: {error}");
+        }
+    }
+}
+
 impl AsyncRead for InboundStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -82,7 +117,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.written(written)
     }
 
     fn poll_write_vectored(
@@ -90,7 +126,8 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/ledger/bill.rs
+++ b/src/ledger/bill.rs
@@ -41,4 +41,11 @@
         self.answer_tokens += bill.answer_tokens;
         self.cost += bill.cost;
     }
+    /// Adds other totals to the totals.
+    pub fn merge(&mut self, other: &Self) {
+        self.count += other.count;
+        self.prompt_tokens += other.prompt_tokens;
+        self.answer_tokens += other.answer_tokens;
+        self.cost += other.cost;
+    }
 }
--- a/src/name/mod.rs
+++ b/src/name/mod.rs
@@ -9,6 +9,20 @@
 pub use request_id::RequestId;
 pub use version_key::VersionKey;
 
+/// The most bytes of a label.
+const MAX_LABEL_BYTES: usize = 64;
+
+/// Whether a text is 1 to 64 letters, digits, `-`, `_` or `.`.
+///
+/// ```
+/// use samphireshift::name::is_label;
+/// assert!(is_label("perth-1") && !is_label("") && !is_label("perth 1"));
+/// ```
+pub fn is_label(text: &str) -> bool {
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    (1..=MAX_LABEL_BYTES).contains(&text.len()) && text.chars().all(is_plain)
+}
+
 /// Declares a string newtype for a name. It is not validated, and is serialised as a plain string.
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
@@ -64,6 +78,10 @@
     /// Name of a data centre.
     DataCentre
 );
+name!(
+    /// Name of a region, which has one or more data centres.
+    Region
+);
 name!(
     /// Name of a pool of backend servers, as in the VM list.
     PoolName
--- a/src/operator/http_server.rs
+++ b/src/operator/http_server.rs
@@ -4,7 +4,7 @@
 use crate::daemon::Node;
 use crate::error::Error;
 use crate::event::EventQuery;
-use crate::name::{OrganisationName, RequestId, VersionKey};
+use crate::name::{DataCentre, OrganisationName, RequestId, VersionKey};
 use crate::peer::{
     HealthView, Link, NodeStatus, OperatorRequest, OperatorResponse, ProtocolVersion,
 };
@@ -152,6 +152,15 @@
                 .map_err(|_| bad_request("the part must be a hexadecimal number"))?;
             leader_response(node, OperatorRequest::ClearPart(part)).await
         }
+        ("GET", ["v1", "evacuations"]) => leader_response(node, OperatorRequest::Evacuations).await,
+        ("POST", ["v1", "evacuations", name, "begin"]) => {
+            let data_centre = DataCentre::new(*name);
+            leader_response(node, OperatorRequest::BeginEvacuation(data_centre)).await
+        }
+        ("POST", ["v1", "evacuations", name, "finish"]) => {
+            let data_centre = DataCentre::new(*name);
+            leader_response(node, OperatorRequest::FinishEvacuation(data_centre)).await
+        }
         ("GET", ["v1", "timeline"]) => {
             serialize_response(&collect_timeline(node, &parse_event_query(query)?).await)
         }
@@ -230,6 +239,10 @@
             404,
             "what has this id is not blocked, neither a part nor a request; list them without --clear".to_owned(),
         )),
+        OperatorResponse::UnknownDataCentre => {
+            Err(ApiError(404, "no VM lies in this data centre; check its name".to_owned()))
+        }
+        OperatorResponse::Evacuations(evacuated) => serialize_response(&evacuated),
         OperatorResponse::NotLeader { .. }
         | OperatorResponse::OutcomeUnknown
         | OperatorResponse::TooFewVoters => Err(ApiError(503, text.to_owned())),
@@ -298,7 +311,7 @@
             ));
         }
     }
-    serde_json::from_slice(&bytes).map_err(|cause| bad_request(&format!("not a ticket: {cause}")))
+    Ticket::from_json(&bytes).map_err(|error| bad_request(&error.to_string()))
 }
 
 /// The event query in the parameter `filter`, JSON in hex digits; selects all events without it.
--- a/src/peer/handshake.rs
+++ b/src/peer/handshake.rs
@@ -52,7 +52,7 @@
 /// What follows a [`Challenge`] in the same frame. Builds from before the first version send
 /// nothing there and ignore it.
 #[derive(Serialize, serde::Deserialize)]
-struct ChallengeSuffix {
+struct VersionSuffix {
     version: ProtocolVersion,
 }
 
@@ -85,26 +85,26 @@
     stream: TcpStream,
     secret: &str,
     local: &PeerIdentity,
-) -> Result<(FramedStream, PeerIdentity), HandshakeError> {
+) -> Result<ConnectedPeer, HandshakeError> {
     let mut framed = frame_stream(stream)?;
     let exchange = async {
         let nonce = rand::random();
-        let suffix = ChallengeSuffix { version: ProtocolVersion::CURRENT };
+        let suffix = VersionSuffix { version: ProtocolVersion::CURRENT };
         send_message(&mut framed, &(Challenge { nonce }, suffix)).await?;
-        let proof: Proof = receive_message(&mut framed).await?;
+        let (proof, version): (Proof, _) = receive_versioned(&mut framed).await?;
         verify_proof(secret, "connect", nonce, &proof)?;
         let mac = compute_mac(secret, "accept", proof.nonce, local);
         let response = Proof { identity: local.clone(), nonce, mac };
         let compatible = local.is_cluster_compatible(&proof.identity);
         send_message(&mut framed, &response).await?;
         match compatible {
-            true => Ok(proof.identity),
+            true => Ok((proof.identity, version)),
             false => Err(HandshakeError::ClusterMismatch),
         }
     };
-    let identity = with_timeout(exchange).await?;
+    let (identity, version) = with_timeout(exchange).await?;
     framed.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
-    Ok((framed, identity))
+    Ok(ConnectedPeer { framed, identity, version })
 }
 
 /// Runs the connecting end of the handshake.
@@ -119,10 +119,12 @@
 ) -> Result<ConnectedPeer, HandshakeError> {
     let mut framed = frame_stream(stream)?;
     let exchange = async {
-        let (challenge, version) = receive_challenge(&mut framed).await?;
+        let (challenge, version): (Challenge, _) = receive_versioned(&mut framed).await?;
         let nonce = rand::random();
         let mac = compute_mac(secret, "connect", challenge.nonce, local);
-        send_message(&mut framed, &Proof { identity: local.clone(), nonce, mac }).await?;
+        let own = Proof { identity: local.clone(), nonce, mac };
+        let suffix = VersionSuffix { version: ProtocolVersion::CURRENT };
+        send_message(&mut framed, &(own, suffix)).await?;
         let proof: Proof = receive_message(&mut framed).await?;
         verify_proof(secret, "accept", nonce, &proof)?;
         match local.is_cluster_compatible(&proof.identity) {
@@ -135,19 +137,22 @@
     Ok(ConnectedPeer { framed, identity, version })
 }
 
-/// Receives the challenge, and the version that may follow it in the same frame.
-async fn receive_challenge(
+/// Receives a message, and the version that may follow it in the same frame. Builds that do not know the version
+/// leave it unread.
+async fn receive_versioned<T>(
     framed: &mut FramedStream,
-) -> Result<(Challenge, ProtocolVersion), HandshakeError> {
+) -> Result<(T, ProtocolVersion), HandshakeError>
+where
+    T: DeserializeOwned,
+{
     let frame = receive_frame(framed).await?;
-    let (challenge, rest) =
+    let (message, rest) =
         postcard::take_from_bytes(&frame).map_err(|_| HandshakeError::Protocol)?;
     if rest.is_empty() {
-        return Ok((challenge, ProtocolVersion::FIRST));
+        return Ok((message, ProtocolVersion::FIRST));
     }
-    let suffix: ChallengeSuffix =
-        postcard::from_bytes(rest).map_err(|_| HandshakeError::Protocol)?;
-    Ok((challenge, suffix.version))
+    let suffix: VersionSuffix = postcard::from_bytes(rest).map_err(|_| HandshakeError::Protocol)?;
+    Ok((message, suffix.version))
 }
 
 async fn with_timeout<F, T>(exchange: F) -> Result<T, HandshakeError>
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,6 +1,6 @@
 use crate::control::{
-    AnswerStatsEntry, BlockedPart, BlockedParts, Config, Evidence, PoolRollout, RouteTable,
-    RouterId, Ticket, TicketAnswer, TicketRecord,
+    AnswerStatsEntry, BlockedPart, BlockedParts, Config, Evidence, PoolRollout, RegionRules,
+    RouteTable, RouterId, Ticket, TicketAnswer, TicketRecord,
 };
 use crate::event::Timestamp;
 use crate::group::{GroupId, SubmitError};
@@ -10,7 +10,7 @@
 use crate::vms::VmSnapshot;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -74,6 +74,27 @@
         /// The address on which the leader accepts connections from peers, if known.
         address: Option<SocketAddr>,
     },
+    /// As `granted` says, while data centres are evacuated. Daemons that do not know this response have no
+    /// lease then.
+    GrantedInEvacuation {
+        /// The response without the evacuations.
+        granted: Box<LeaseResponse>,
+        /// The data centres whose servers get no calls.
+        evacuated: BTreeSet<DataCentre>,
+    },
+}
+
+impl LeaseResponse {
+    /// The response with the evacuations in its configuration, which are not part of that on the way.
+    pub fn with_evacuations(self) -> Self {
+        let LeaseResponse::GrantedInEvacuation { mut granted, evacuated } = self else {
+            return self;
+        };
+        if let LeaseResponse::Granted { config: Some(config), .. } = granted.as_mut() {
+            Arc::make_mut(config).evacuated = evacuated;
+        }
+        *granted
+    }
 }
 
 /// The response to a forwarded command.
@@ -136,6 +157,16 @@
     BlockedParts,
     /// Lets calls with a part through again, or a request, by its id.
     ClearPart(u64),
+    /// Keeps calls from the servers of a data centre.
+    BeginEvacuation(DataCentre),
+    /// Lets calls to the servers of a data centre through again.
+    FinishEvacuation(DataCentre),
+    /// Returns the data centres that are evacuated.
+    Evacuations,
+    /// A request for bills, to the leader of this ledger group. Needs protocol version 13.
+    AtLedger(GroupId, Box<OperatorRequest>),
+    /// Replaces the route table by one with rules on regions.
+    ReplaceTableInRegions(Arc<RouteTable>, Arc<RegionRules>),
 }
 
 /// The response to an operator's request.
@@ -188,6 +219,10 @@
     UnknownPart,
     /// The parts of prompts and the requests that are blocked.
     Blocked(BlockedParts, BTreeMap<u64, BlockedPart>),
+    /// No VM lies in this data centre.
+    UnknownDataCentre,
+    /// The data centres that are evacuated.
+    Evacuations(BTreeSet<DataCentre>),
 }
 
 /// What the leader knows of the quality of versions.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -2,6 +2,8 @@
 //! that no longer respond.
 
 mod cluster;
+mod cold_report;
+mod connection_report;
 mod departure;
 mod directory;
 mod group_reach;
@@ -23,6 +25,8 @@
 mod suspect_report;
 
 pub use cluster::{Cluster, Unavailable};
+pub use cold_report::{ColdReport, ColdResponse, WarmUpRateTable};
+pub use connection_report::{ConnectionReport, ConnectionResponse};
 pub use departure::{DepartureRequest, DepartureResponse};
 pub use directory::{Directory, Greeting, GroupContact};
 pub use group_reach::Askable;
--- a/src/peer/protocol_version.rs
+++ b/src/peer/protocol_version.rs
@@ -31,6 +31,19 @@
     pub const DIRECTORIES: Self = Self(9);
     /// Since this version, daemons tell the health of the groups that they lead.
     pub const GROUP_HEALTH: Self = Self(10);
+    /// Since this version, daemons keep calls from data centres that are evacuated, and the connecting end of a
+    /// connection states its version, too.
+    pub const EVACUATIONS: Self = Self(11);
+    /// Since this version, routers tell the leader of servers that turn cold.
+    pub const COLD_SERVERS: Self = Self(12);
+    /// Since this version, leaders of ledger groups answer requests for bills.
+    pub const LEDGER_READS: Self = Self(13);
+    /// Since this version, daemons keep calls to the regions that their route and organisation
+    /// name.
+    pub const REGIONS: Self = Self(14);
+    /// Since this version, routers tell the leader what they need of the connections that servers
+    /// accept, and get parts of them.
+    pub const CONNECTION_PARTS: Self = Self(15);
     /// The version of this build.
-    pub const CURRENT: Self = Self::GROUP_HEALTH;
+    pub const CURRENT: Self = Self::CONNECTION_PARTS;
 }
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -3,10 +3,11 @@
 #![allow(missing_docs, reason = "the macro generates undocumented items")]
 
 use super::{
-    DepartureRequest, DepartureResponse, EventResponse, Greeting, HealthView, HelperRequest,
-    HelperResponse, LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus,
-    OperatorRequest, OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest,
-    RenewResponse, SubmitResponse, SuspectReport, SuspectResponse,
+    ColdReport, ColdResponse, ConnectionReport, ConnectionResponse, DepartureRequest,
+    DepartureResponse, EventResponse, Greeting, HealthView, HelperRequest, HelperResponse,
+    LeaseRequest, LeaseResponse, LimitReport, LimitResponse, NodeStatus, OperatorRequest,
+    OperatorResponse, PartReport, PartResponse, PeerIdentity, RenewRequest, RenewResponse,
+    SubmitResponse, SuspectReport, SuspectResponse,
 };
 use crate::event::EventQuery;
 use crate::group::{Envelope, GroupId};
@@ -50,4 +51,10 @@
     async fn greet(digest: u64) -> Greeting;
     /// Returns the health of the groups that this daemon leads. Needs protocol version 10.
     async fn group_health() -> Vec<HealthView>;
+    /// Counts what a router has found of servers that are cold, if this daemon leads the control group.
+    /// Needs protocol version 12.
+    async fn share_cold(report: ColdReport) -> ColdResponse;
+    /// Counts what a router uses and needs of the connections that servers accept, if this daemon
+    /// leads the control group, and returns its parts. Needs protocol version 15.
+    async fn share_connections(report: ConnectionReport) -> ConnectionResponse;
 }
--- a/src/policy/escalation.rs
+++ b/src/policy/escalation.rs
@@ -25,3 +25,27 @@
     let pressure = (wait / left.max(1.0) - FREE_WAIT_FRACTION).clamp(0.0, 1.0);
     f64::from(confidence) >= MIN_CONFIDENCE + (MIN_LATE_CONFIDENCE - MIN_CONFIDENCE) * pressure
 }
+
+/// Times of a larger model's answer, in ms from now: as they are expected, or the latest that are allowed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AnswerTimes {
+    /// Until the response can go on to the caller: a stream's first event, or the whole of any other.
+    pub ready: f64,
+    /// Until its last byte.
+    pub end: f64,
+}
+
+impl AnswerTimes {
+    /// Whether an answer that is expected like this comes in the time that is `left`.
+    ///
+    /// ```
+    /// use samphireshift::policy::AnswerTimes;
+    /// let left = AnswerTimes { ready: 800.0, end: 3_000.0 };
+    /// let fits = |ready, end| AnswerTimes { ready, end }.fits(&left);
+    /// assert!(fits(500.0, 2_000.0));
+    /// assert!(!fits(800.0, 2_000.0) && !fits(500.0, 3_001.0));
+    /// ```
+    pub fn fits(&self, left: &Self) -> bool {
+        self.ready < left.ready && self.end <= left.end
+    }
+}
