--- a/src/policy/local_limits.rs
+++ b/src/policy/local_limits.rs
@@ -1,12 +1,14 @@
 //! A router's side of the limits that servers name: what it has heard, and the tokens that it holds.
 //! See [`SharedLimits`](super::SharedLimits) for the leader's side.
 
+use super::local_limit::LocalLimit;
 use super::{
-    HeardLimit, KnownLimit, LimitAsk, LimitChange, LimitDemand, LimitKnowledge, LimitNews,
-    LimitPosition, LimitSource, OwnShare, SENT_RANK, ServerPace, TokenCount, WarmUps,
+    Admission, FleetSize, HeardLimit, KnownLimit, LimitAsk, LimitChange, LimitDemand,
+    LimitKnowledge, LimitNews, LimitPosition, LimitSource, OwnShare, SENT_RANK, SendToken,
+    ServerPace, TokenCount, TokenSource, WarmUps,
 };
 use crate::name::VmName;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How long a token may be used, from when the router asked for it.
@@ -20,12 +22,6 @@
 const MAX_WANTED: u32 = 8;
 /// Limits from which on nothing is limited, in requests a second.
 const MAX_LIMIT: f64 = 10_000.0;
-/// The longest time between two requests that a router sends to a limited server by itself.
-const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
-/// A change of a limit by more than this fraction is reported at once.
-const NEWS_CHANGE: f64 = 0.1;
-/// How long the largest number of routers is remembered: a new leader counts them only bit by bit.
-const FLEET_TTL: Duration = Duration::from_secs(10);
 /// How long a limit is kept while its server is not in the VM list: a reading of the list may leave out
 /// servers that are there, and a server that comes back is still limited.
 pub const UNLISTED_TTL: Duration = Duration::from_secs(60);
@@ -41,162 +37,16 @@
     servers: BTreeMap<VmName, LocalLimit>,
     /// What the leader's last answer told.
     position: LimitPosition,
+    /// The same, of the last answer that said which servers are cold.
+    listed_at: Option<LimitPosition>,
     /// When the last report that was answered was sent.
     answered_at: Option<Duration>,
-    /// Numbers of routers, and when they were told.
-    fleet: VecDeque<(Duration, u32)>,
+    fleet: FleetSize,
     warm_ups: WarmUps,
     /// Changes that have not been logged.
     changes: Vec<LimitChange>,
 }
 
-#[derive(Debug)]
-struct LocalLimit {
-    limit: f64,
-    /// When the server last named this limit or a lower one: what was sent before and tells of more
-    /// may be older.
-    heard_at: Duration,
-    /// Since when at the earliest what is known is true.
-    said_at: Duration,
-    /// When that changed last.
-    changed_at: Duration,
-    /// When more was heard of, until another answer confirms it: the leader may have heard from
-    /// another router that it is older than what that one heard.
-    unconfirmed: Option<Duration>,
-    /// Whether the server has named no limit since then.
-    has_ended: bool,
-    /// Whether the leader has not yet been told of the newest news.
-    unreported: bool,
-    /// When each of the tokens expires, the next first.
-    tokens: VecDeque<Duration>,
-    wanted: u32,
-    wanted_at: Duration,
-    /// This router's own part, for times without a leader.
-    share: OwnShare,
-    /// What the leader said of the pace of its tokens: a second, for this router.
-    pace: Option<f64>,
-    /// Since when the server is not in the VM list.
-    unlisted_since: Option<Duration>,
-}
-
-/// Whether a request may be sent to a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Admission {
-    /// The server has no limit and is warm.
-    Free,
-    /// There is a token for it, or this router's turn has begun.
-    Ready,
-    /// There is neither now.
-    Dry,
-}
-
-/// A token, which permits one request until it expires.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SendToken {
-    expires_at: Duration,
-    /// Where it comes from.
-    pub source: TokenSource,
-}
-
-/// What permits a request to a server that takes few.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TokenSource {
-    /// A token of the leader.
-    Leader,
-    /// The router's own part, without a leader.
-    OwnPart,
-    /// A turn at a server that warms up.
-    WarmUp,
-}
-
-impl LocalLimit {
-    fn new(now: Duration, limit: f64, heard_at: Duration) -> Self {
-        Self {
-            limit,
-            heard_at,
-            said_at: heard_at,
-            changed_at: now,
-            unconfirmed: None,
-            has_ended: false,
-            unreported: false,
-            tokens: VecDeque::new(),
-            wanted: 0,
-            wanted_at: now,
-            share: OwnShare::default(),
-            pace: None,
-            unlisted_since: None,
-        }
-    }
-
-    fn set_limit(&mut self, limit: f64) {
-        if limit < self.limit * (1.0 - NEWS_CHANGE) {
-            self.tokens.clear();
-        }
-        self.limit = limit;
-        self.has_ended = false;
-    }
-
-    /// Takes in what an answer says that names a limit. Returns whether the leader has to know at once.
-    fn hear(&mut self, now: Duration, sent_at: Duration, limit: f64) -> bool {
-        let is_higher = !self.has_ended && limit > self.limit;
-        // An answer to an older call may have been overtaken by one that names less.
-        if is_higher && sent_at <= self.heard_at {
-            return false;
-        }
-        if !self.has_ended && limit == self.limit {
-            self.heard_at = now;
-            return self.confirm(now, sent_at);
-        }
-        let is_news = self.has_ended || (limit - self.limit).abs() > NEWS_CHANGE * self.limit;
-        self.set_limit(limit);
-        if !is_higher {
-            self.heard_at = now;
-        }
-        (self.said_at, self.changed_at) = (if is_higher { sent_at } else { now }, now);
-        self.unconfirmed = is_higher.then_some(now);
-        self.unreported = true;
-        is_news
-    }
-
-    /// Takes in an answer that names no limit.
-    fn hear_none(&mut self, now: Duration, sent_at: Duration) -> bool {
-        if self.has_ended {
-            return self.confirm(now, sent_at);
-        }
-        // An answer to an older call may have been on its way when the limit was named.
-        if sent_at <= self.heard_at {
-            return false;
-        }
-        (self.has_ended, self.unreported) = (true, true);
-        (self.said_at, self.changed_at) = (sent_at, now);
-        self.unconfirmed = Some(now);
-        true
-    }
-
-    /// Reports what is known once more if it was said again since it was heard first.
-    fn confirm(&mut self, now: Duration, sent_at: Duration) -> bool {
-        let is_confirmed = self.unconfirmed.is_some_and(|since| sent_at > since);
-        if is_confirmed {
-            self.unconfirmed = None;
-            (self.said_at, self.changed_at) = (sent_at, now);
-            self.unreported = true;
-        }
-        is_confirmed
-    }
-
-    fn drop_expired(&mut self, now: Duration) {
-        while self.tokens.front().is_some_and(|expires_at| *expires_at <= now) {
-            self.tokens.pop_front();
-        }
-    }
-}
-
-/// The time between two requests that a router sends to a server by itself.
-fn interval(known: &LocalLimit, fleet: u32) -> Duration {
-    let rate = known.limit / f64::from(fleet);
-    Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_INTERVAL).min(MAX_INTERVAL)
-}
-
 impl LocalLimits {
     /// Knows no limits yet; `phase`, from 0 to 1, should differ from router to router.
     pub fn new(phase: f64) -> Self {
@@ -204,8 +54,9 @@
             phase,
             servers: BTreeMap::new(),
             position: LimitPosition::default(),
+            listed_at: None,
             answered_at: None,
-            fleet: VecDeque::new(),
+            fleet: FleetSize::default(),
             warm_ups: WarmUps::new(phase.to_bits()),
             changes: Vec::new(),
         }
@@ -263,20 +114,24 @@
         self.servers.len()
     }
 
-    /// The number of servers that are warming up.
-    pub fn warming_count(&self) -> usize {
-        self.warm_ups.count()
+    /// The servers that are cold.
+    pub fn warm_ups(&self) -> &WarmUps {
+        &self.warm_ups
+    }
+
+    /// The servers that are cold, for changes.
+    pub fn warm_ups_mut(&mut self) -> &mut WarmUps {
+        &mut self.warm_ups
     }
 
     /// Sets the number of routers that the leader has told of.
     pub fn set_fleet(&mut self, now: Duration, routers: u32) {
-        self.fleet.retain(|(at, _)| now < *at + FLEET_TTL);
-        self.fleet.retain(|(_, known)| *known > routers);
-        self.fleet.push_back((now, routers.max(1)));
+        self.fleet.set(now, routers);
+        self.warm_ups.set_fleet(self.fleet());
     }
 
     fn fleet(&self) -> u32 {
-        self.fleet.iter().map(|(_, routers)| *routers).max().unwrap_or(1)
+        self.fleet.routers()
     }
 
     /// Whether a request may be sent to a server now.
@@ -293,7 +148,7 @@
         let Some(known) = self.servers.get_mut(server) else { return Admission::Free };
         known.drop_expired(now);
         let has_own = |known: &mut LocalLimit| {
-            now >= starts_at && known.share.is_due(now, starts_at, interval(known, fleet), phase)
+            now >= starts_at && known.share.is_due(now, starts_at, known.interval(fleet), phase)
         };
         match !known.tokens.is_empty() || has_own(known) {
             true => Admission::Ready,
@@ -314,7 +169,7 @@
         if let Some(expires_at) = known.tokens.pop_front() {
             return Some(SendToken { expires_at, source: TokenSource::Leader });
         }
-        known.share.take(interval(known, fleet));
+        known.share.take(known.interval(fleet));
         Some(SendToken { expires_at: now + TOKEN_TTL, source: TokenSource::OwnPart })
     }
 
@@ -351,7 +206,7 @@
     /// those that were sent before each token first, whichever router they wait at.
     pub fn expected_rate(&self, now: Duration, server: &VmName, rank: u8) -> f64 {
         let fleet = self.fleet();
-        let warm_up = self.warm_ups.rate(server);
+        let warm_up = self.warm_ups.rate(now, server);
         let Some(known) = self.servers.get(server) else { return warm_up.unwrap_or(0.0) };
         let own = known.limit / f64::from(fleet);
         let has_leader = now < self.own_from();
@@ -397,10 +252,16 @@
     /// is something to report to it.
     pub fn apply(&mut self, now: Duration, asked_at: Duration, news: &LimitNews) -> bool {
         self.answered_at = Some(asked_at);
-        self.warm_ups.confirm(now);
+        if news.warming.is_some() {
+            self.listed_at = Some(news.position);
+        }
+        // An answer without a list tells of no change since that position.
+        let knows_list = self.listed_at == Some(news.position);
+        self.warm_ups.confirm(now, asked_at, knows_list);
         if let Some(warming) = &news.warming {
-            let fleet = self.fleet();
-            self.warm_ups.replace(now, warming, news.place, fleet);
+            self.warm_ups.set_place(news.place);
+            let same_term = news.position.term == self.position.term;
+            self.warm_ups.replace(now, asked_at, same_term, warming);
         }
         for known in self.servers.values_mut() {
             known.unreported &= known.changed_at > asked_at;
@@ -477,6 +338,6 @@
             self.servers.remove(&server);
             self.note(&server, LimitKnowledge::Forgotten, LimitSource::VmList, age);
         }
-        self.warm_ups.retain(is_listed);
+        self.warm_ups.retain(now, is_listed);
     }
 }
--- a/src/policy/server_view.rs
+++ b/src/policy/server_view.rs
@@ -6,6 +6,10 @@
 const IN_PROGRESS_MS: f64 = 1.5;
 /// Time that each call queued for a slot adds, in ms.
 const QUEUED_MS: f64 = 30.0;
+/// Time that an idle server takes for each token of an answer, in ms.
+const TOKEN_MS: f64 = 5.0;
+/// Time that each call in progress adds to each of another one's tokens, in ms.
+const TOKEN_MS_PER_CALL: f64 = 0.03;
 /// Penalty for a server in another data centre, in ms; that traffic is also charged by the byte.
 const REMOTE_PENALTY_MS: f64 = 12.0;
 /// Penalty for a server that fails all of its calls, in ms; multiplied by the failure rate.
@@ -54,6 +58,19 @@
             + self.failure_rate * FAILURE_PENALTY_MS
     }
 
+    /// The expected time from the first event of an answer with so many tokens to its end, in ms.
+    ///
+    /// ```
+    /// use samphireshift::policy::ServerView;
+    /// let idle = ServerView { slots: 6.0, slowness: 1.0, local: true, ..ServerView::default() };
+    /// let slow = ServerView { slowness: 2.0, ..idle };
+    /// assert_eq!(slow.answer_time(10), 2.0 * idle.answer_time(10));
+    /// ```
+    pub fn answer_time(&self, tokens: u32) -> f64 {
+        let running = if self.slots > 0.0 { self.busy.min(self.slots) } else { self.busy };
+        f64::from(tokens) * (TOKEN_MS + running * TOKEN_MS_PER_CALL) * self.slowness
+    }
+
     /// The expected time to the first event of the answer, without penalties and at the expected
     /// speed, in ms.
     pub fn baseline_wait(&self) -> f64 {
--- a/src/policy/shared_limits.rs
+++ b/src/policy/shared_limits.rs
@@ -3,8 +3,9 @@
 //! the routers that ask for them, the most urgent first, then in turn.
 
 use super::{
-    HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews, LimitPosition, PacedBucket,
-    ServerPace, TokenCount, TurnPlace, UNLISTED_TTL, WarmingServers,
+    ColdServer, ColdServers, HeardLimit, KnownLimit, LimitAsk, LimitDemand, LimitNews,
+    LimitPosition, PacedBucket, ServerPace, TokenCount, TurnPlace, UNLISTED_TTL, WarmingServers,
+    Witness,
 };
 use crate::control::RouterId;
 use crate::name::VmName;
@@ -46,8 +47,8 @@
     version: u64,
     /// The last turn that was given.
     turn: u64,
-    /// The servers that are warming up; `None` before the VM list was read.
-    warming: Option<Vec<WarmingServers>>,
+    /// The servers that are cold.
+    cold: ColdServers,
 }
 
 #[derive(Debug)]
@@ -169,11 +170,23 @@
         }
     }
 
-    /// Sets which servers are warming up. Returns whether that is something that all routers have to
-    /// know.
+    /// Sets which servers are warming up, by the VM list. Returns whether that is something that all
+    /// routers have to know.
     pub fn set_warming(&mut self, warming: Vec<WarmingServers>) -> bool {
-        let is_news = self.warming.as_ref() != Some(&warming);
-        self.warming = Some(warming);
+        let is_news = self.cold.set_listed(warming);
+        self.version += u64::from(is_news);
+        is_news
+    }
+
+    /// Takes in that servers are cold, or may be, before the VM list says so. Returns whether that is
+    /// something that all routers have to know.
+    pub fn presume_cold(
+        &mut self,
+        now: Duration,
+        witness: &Witness,
+        servers: &[ColdServer],
+    ) -> bool {
+        let is_news = self.cold.presume(now, witness, servers);
         self.version += u64::from(is_news);
         is_news
     }
@@ -253,7 +266,7 @@
     ) -> LimitNews {
         let (mut limits, warming) = match known == self.position() {
             true => (Vec::new(), None),
-            false => (self.limits(), self.warming.clone()),
+            false => (self.limits(), self.cold.all()),
         };
         // A router of another term has yet to report what it knows.
         if known.term == self.term {
@@ -266,7 +279,7 @@
     }
 
     /// A router's place among those that report; `None` if there are more that do not yet.
-    fn place(&self, now: Duration, router: &RouterId) -> Option<TurnPlace> {
+    pub fn place(&self, now: Duration, router: &RouterId) -> Option<TurnPlace> {
         let is_heard = |state: &RouterState| now < state.seen + SILENT_AFTER;
         let heard: Vec<_> = self.routers.iter().filter(|(_, state)| is_heard(state)).collect();
         let fleet = heard.iter().map(|(_, state)| state.fleet).max().unwrap_or(0);
@@ -334,7 +347,7 @@
     where
         F: Fn(&VmName) -> bool,
     {
-        let mut news = false;
+        let mut news = self.cold.expire(now);
         for server in self.servers.values_mut() {
             if let LimitState::Rising(since) = server.state
                 && now >= since + RISE_TIME
--- a/src/policy/warm_up.rs
+++ b/src/policy/warm_up.rs
@@ -1,156 +1,234 @@
-//! Pattern: slow start. Servers that have just started take few requests; the routers keep to a
-//! common rate by turns, which the leader lays out and nobody has to ask for.
+//! Pattern: slow start. Servers that are cold take few requests; the routers keep to a common rate by
+//! turns, which the leader lays out and nobody has to ask for.
 
-use super::{Admission, OwnShare, TurnPlace, WarmingServers};
+use super::{
+    Admission, TurnOrder, TurnPlace, UNLISTED_TTL, WarmUpBounds, WarmUpTurns, WarmingServers,
+};
 use crate::name::VmName;
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-/// The part of the rate that the turns of all routers make up where they lie at equal distances.
-const PLACED_FRACTION: f64 = 1.0;
-/// The same where turns fall at random, so that in some seconds there are many more than on average.
-const RANDOM_FRACTION: f64 = 0.5;
-/// How long a turn that nobody takes is kept: this time and that of so many requests, but not longer
-/// than the last.
-const KEPT_TIME: Duration = Duration::from_millis(300);
-/// See [`KEPT_TIME`].
-const KEPT_REQUESTS: f64 = 4.0;
-/// See [`KEPT_TIME`].
-const MAX_KEPT: Duration = Duration::from_secs(1);
 /// How long what the leader told holds when no leader answers any more.
 const TOLD_TTL: Duration = Duration::from_secs(60);
+/// How long what a router knows by itself holds at most: the list says it by then.
+const MAX_OWN: Duration = Duration::from_secs(60);
 
-/// The servers that are warming up, and one router's turns to send to them.
+/// The servers that are cold, and one router's turns to send to them.
 #[derive(Debug)]
 pub struct WarmUps {
-    /// Different for each router.
-    seed: u64,
+    order: TurnOrder,
     servers: BTreeMap<VmName, WarmUp>,
     /// When the leader last confirmed what it told.
     told_at: Duration,
+    /// Whether a leader has told the common time.
+    has_common_time: bool,
 }
 
 #[derive(Debug)]
 struct WarmUp {
-    /// Requests a second from all routers together.
-    rate: f64,
+    turns: WarmUpTurns,
+    /// Whether the leader said so.
+    is_told: bool,
+    own: Option<OwnKnowledge>,
+    /// Since when the server is not in the VM list.
+    unlisted_since: Option<Duration>,
+}
+
+/// Why a router holds by itself that a server is cold, or may be.
+#[derive(Debug, Clone, Copy)]
+struct OwnKnowledge {
     since: Duration,
-    /// Where this router's first turn lies, as a fraction of the time between two.
-    phase: f64,
-    /// The part of `rate` for one router.
-    fraction: f64,
-    share: OwnShare,
+    until: Duration,
+    /// Whether a leader's later answer settles it.
+    until_told: bool,
 }
 
 impl WarmUp {
-    /// The time between two turns of this router.
-    fn interval(&self) -> Duration {
-        Duration::try_from_secs_f64(1.0 / (self.rate * self.fraction)).unwrap_or(Duration::MAX)
+    fn is_cold(&self, now: Duration, told_at: Duration) -> bool {
+        let is_own = self.own.is_some_and(|own| now < own.until);
+        is_own || (self.is_told && now <= told_at + TOLD_TTL)
     }
 }
 
 impl WarmUps {
     /// Knows no servers; `seed` should differ from router to router.
     pub fn new(seed: u64) -> Self {
-        Self { seed, servers: BTreeMap::new(), told_at: Duration::ZERO }
+        let bounds = WarmUpBounds::default();
+        let order = TurnOrder { seed, place: None, fleet: 1, time_offset: Duration::ZERO, bounds };
+        let (servers, told_at) = (BTreeMap::new(), Duration::ZERO);
+        Self { order, servers, told_at, has_common_time: false }
+    }
+
+    /// Sets what a cold server may get.
+    pub fn set_bounds(&mut self, bounds: WarmUpBounds) {
+        self.order.bounds = bounds;
+    }
+
+    /// Sets how far the time of day on this machine is ahead of the router's own time. It counts only
+    /// until a leader has told its time: the clocks of machines may differ by seconds.
+    pub fn set_day_offset(&mut self, offset: Duration) {
+        if !self.has_common_time {
+            self.order.time_offset = offset;
+        }
+    }
+
+    /// Takes in the leader's time from the answer, just arrived, to what was asked at `asked_at`. Turns
+    /// that are laid out already stay.
+    pub fn hear_time(&mut self, now: Duration, asked_at: Duration, leader_time: Duration) {
+        let told_at = asked_at + now.saturating_sub(asked_at) / 2;
+        self.order.time_offset = leader_time.saturating_sub(told_at);
+        self.has_common_time = true;
     }
 
-    /// Notes that a leader answered, so that what it told before still holds.
-    pub fn confirm(&mut self, now: Duration) {
+    /// Sets this router's place among all, for turns that are laid out from now on; `None` if the
+    /// leader does not know it.
+    pub fn set_place(&mut self, place: Option<TurnPlace>) {
+        self.order.place = place;
+    }
+
+    /// Sets the number of routers that the router was told of.
+    pub fn set_fleet(&mut self, fleet: u32) {
+        self.order.fleet = fleet.max(1);
+    }
+
+    /// Notes that a leader answered a report sent at `asked_at`, so that what it told before still holds;
+    /// `knows_list`: it had read the VM list, and told what is in it.
+    pub fn confirm(&mut self, now: Duration, asked_at: Duration, knows_list: bool) {
         self.told_at = now;
+        if !knows_list {
+            return;
+        }
+        for server in self.servers.values_mut() {
+            server.own = server.own.filter(|own| !own.until_told || own.since > asked_at);
+        }
     }
 
-    /// Takes in which servers are warming up, and this router's place among `fleet` routers, if the
-    /// leader knows it. Turns at servers that were warming up before go on.
+    /// Takes in which servers are warming up; `same_term`: by the leader that told last. Turns at
+    /// servers that were warming up before go on.
     pub fn replace(
         &mut self,
         now: Duration,
+        asked_at: Duration,
+        same_term: bool,
         groups: &[WarmingServers],
-        place: Option<TurnPlace>,
-        fleet: u32,
     ) {
-        let mut before = std::mem::take(&mut self.servers);
+        for server in self.servers.values_mut() {
+            // A server that the leader told of and now leaves out is warm, unless something has happened
+            // since. Another leader may not have heard of it yet.
+            if server.is_told && same_term {
+                server.own = server.own.filter(|own| own.since > asked_at);
+            }
+            server.is_told = false;
+        }
         for group in groups.iter().filter(|group| group.rate > 0.0) {
             for server in &group.servers {
-                let known = before.remove(server);
-                let new = || self.first_turn(now, server, group.rate, place, fleet);
-                let known = known.filter(|known| known.rate == group.rate).unwrap_or_else(new);
-                self.servers.insert(server.clone(), known);
+                self.entry(now, server, group.rate).is_told = true;
             }
         }
+        self.expire(now);
     }
 
-    fn first_turn(
-        &self,
+    /// Holds a server to be cold while this `lasts`, a minute at most; `until_told`: or until a leader
+    /// answers that is asked later. Returns whether it was not held to be cold before.
+    pub fn presume(
+        &mut self,
         now: Duration,
         server: &VmName,
         rate: f64,
-        place: Option<TurnPlace>,
-        fleet: u32,
-    ) -> WarmUp {
-        // The same shift in all routers, so that a router's turns at several servers fall apart.
-        let (phase, fraction) = match place {
-            Some(TurnPlace { index, count }) => {
-                let place = f64::from(index) / f64::from(count);
-                ((place + unit_hash(server)).fract(), PLACED_FRACTION / f64::from(count))
-            }
-            None => (unit_hash(&(self.seed, server)), RANDOM_FRACTION / f64::from(fleet)),
-        };
-        // Turns at random already fall together now and then.
-        let of_requests = match place {
-            Some(_) => Duration::try_from_secs_f64(KEPT_REQUESTS / rate).unwrap_or(MAX_KEPT),
-            None => Duration::ZERO,
-        };
-        let share = OwnShare::kept_for(KEPT_TIME.saturating_add(of_requests).min(MAX_KEPT));
-        WarmUp { rate, since: now, phase, fraction, share }
-    }
-
-    /// The number of servers that are warming up.
+        lasts: Duration,
+        until_told: bool,
+    ) -> bool {
+        if rate <= 0.0 || lasts.is_zero() {
+            return false;
+        }
+        let told_at = self.told_at;
+        let until = now.saturating_add(lasts.min(MAX_OWN));
+        let known = self.entry(now, server, rate);
+        let is_news = !known.is_cold(now, told_at);
+        let before = known.own.filter(|own| now < own.until);
+        known.own = Some(match before {
+            Some(own) => OwnKnowledge {
+                since: now,
+                until: until.max(own.until),
+                until_told: until_told && own.until_told,
+            },
+            None => OwnKnowledge { since: now, until, until_told },
+        });
+        is_news
+    }
+
+    /// Takes in that a server says, in the answer to a call sent at `sent_at`, that it is warm.
+    pub fn hear_warm(&mut self, sent_at: Duration, server: &VmName) {
+        if let Some(known) = self.servers.get_mut(server) {
+            known.own = known.own.filter(|own| own.since >= sent_at);
+        }
+    }
+
+    fn entry(&mut self, now: Duration, server: &VmName, rate: f64) -> &mut WarmUp {
+        let order = self.order;
+        let new = || WarmUpTurns::new(now, server, rate, order);
+        let known = self.servers.entry(server.clone()).or_insert_with(|| WarmUp {
+            turns: new(),
+            is_told: false,
+            own: None,
+            unlisted_since: None,
+        });
+        if !known.turns.fits(rate, order.place.is_some()) {
+            known.turns = new();
+        }
+        known
+    }
+
+    /// Forgets servers that are no longer held to be cold.
+    pub fn expire(&mut self, now: Duration) {
+        let told_at = self.told_at;
+        self.servers.retain(|_, known| known.is_cold(now, told_at));
+    }
+
+    /// The number of servers that are held to be cold.
     pub fn count(&self) -> usize {
         self.servers.len()
     }
 
+    /// Of these, the number that only this router holds to be cold.
+    pub fn presumed_count(&self) -> usize {
+        self.servers.values().filter(|known| !known.is_told).count()
+    }
+
     /// Whether a request may be sent to a server now.
     pub fn admission(&mut self, now: Duration, server: &VmName) -> Admission {
-        if now > self.told_at + TOLD_TTL {
-            return Admission::Free;
-        }
+        let told_at = self.told_at;
         let Some(known) = self.servers.get_mut(server) else { return Admission::Free };
-        let interval = known.interval();
-        match known.share.is_due(now, known.since, interval, known.phase) {
-            true => Admission::Ready,
-            false => Admission::Dry,
+        match known.is_cold(now, told_at) {
+            false => Admission::Free,
+            true if known.turns.is_due(now) => Admission::Ready,
+            true => Admission::Dry,
         }
     }
 
     /// Takes the turn that has begun at a server.
     pub fn take(&mut self, server: &VmName) {
         if let Some(known) = self.servers.get_mut(server) {
-            known.share.take(known.interval());
+            known.turns.take();
         }
     }
 
-    /// Requests a second that this router may send to a server; `None` if it is not warming up.
-    pub fn rate(&self, server: &VmName) -> Option<f64> {
-        self.servers.get(server).map(|known| known.rate * known.fraction)
+    /// Requests a second that this router may send to a server; `None` if it is not cold.
+    pub fn rate(&self, now: Duration, server: &VmName) -> Option<f64> {
+        let known = self.servers.get(server)?;
+        known.is_cold(now, self.told_at).then(|| known.turns.rate())
     }
 
-    /// Forgets servers that are no longer in the VM list.
-    pub fn retain<F>(&mut self, is_listed: F)
+    /// Forgets servers that have not been in the VM list for long.
+    pub fn retain<F>(&mut self, now: Duration, is_listed: F)
     where
         F: Fn(&VmName) -> bool,
     {
-        self.servers.retain(|server, _| is_listed(server));
+        self.servers.retain(|server, known| {
+            let is_listed = is_listed(server);
+            let since = known.unlisted_since.filter(|_| !is_listed).unwrap_or(now);
+            known.unlisted_since = (!is_listed).then_some(since);
+            now < since + UNLISTED_TTL
+        });
     }
 }
-
-/// A hash as a number from 0 to 1, the same in every router.
-fn unit_hash<T>(item: &T) -> f64
-where
-    T: Hash + ?Sized,
-{
-    let mut hasher = DefaultHasher::new();
-    item.hash(&mut hasher);
-    hasher.finish() as f64 / u64::MAX as f64
-}
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -167,7 +167,8 @@
         }
         let work = WorkTarget::Version(call.version.clone());
         let lease = router.lease.clone();
-        connection.set_permit(WorkPermit::new(lease, self.organisation.clone(), work));
+        let place = vm.data_centre.clone();
+        connection.set_permit(WorkPermit::new(lease, self.organisation.clone(), work, place));
         let proof = unsent.take();
         let token_deadline = self.token_deadline(router, call.stream);
         let sent = tokio::time::timeout_at(token_deadline, connection.send(call.to_http())).await;
--- a/src/route/lease.rs
+++ b/src/route/lease.rs
@@ -99,6 +99,12 @@
         since_start() < state.expires_at
     }
 
+    /// Returns the configuration that was installed last, even if the lease has expired, or `None` before the
+    /// first.
+    pub fn installed(&self) -> Option<Arc<Config>> {
+        self.state.read().expect("lease lock").as_ref().map(|state| state.config.clone())
+    }
+
     /// Returns the revision that was installed last, even if the lease has expired, or `None`
     /// before the first.
     pub fn revision(&self) -> Option<u64> {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -7,6 +7,7 @@
 mod cascade;
 mod chat;
 mod claimed_call;
+mod evacuation_check;
 mod lease;
 mod ledger_client;
 mod permit;
@@ -24,6 +25,7 @@
 
 pub use admission::{Admission, AdmissionPermit, AdmissionRequest};
 pub use answer::{Answer, BufferedAnswer, StreamItem};
+pub use evacuation_check::EvacuationCheck;
 pub use lease::RouterLease;
 pub use ledger_client::LedgerClient;
 pub use permit::{WorkPermit, WorkTarget};
--- a/src/route/permit.rs
+++ b/src/route/permit.rs
@@ -1,7 +1,7 @@
-use super::RouterLease;
+use super::{EvacuationCheck, RouterLease};
 use crate::backend::WritePermit;
 use crate::control::{Config, VersionState};
-use crate::name::{OrganisationName, ServiceName, VersionKey};
+use crate::name::{DataCentre, OrganisationName, ServiceName, VersionKey};
 use std::sync::Arc;
 
 /// The target that work is sent to.
@@ -21,19 +21,25 @@
     lease: Arc<RouterLease>,
     organisation: OrganisationName,
     target: WorkTarget,
+    evacuation: EvacuationCheck,
 }
 
 impl WorkPermit {
-    /// Creates the permit for one exchange with a backend server.
+    /// Creates the permit for one exchange with a backend server in `data_centre`.
     pub fn new(
         lease: Arc<RouterLease>,
         organisation: OrganisationName,
         target: WorkTarget,
+        data_centre: DataCentre,
     ) -> Arc<Self> {
-        Arc::new(Self { lease, organisation, target })
+        let evacuation = EvacuationCheck::new(Some(data_centre));
+        Arc::new(Self { lease, organisation, target, evacuation })
     }
 
     fn allows(&self, config: &Config) -> bool {
+        if !self.evacuation.allows(config) {
+            return false;
+        }
         let Some(organisation) = config.organisations.get(&self.organisation) else { return false };
         match &self.target {
             WorkTarget::Version(key) => {
@@ -50,6 +56,10 @@
 
 impl WritePermit for WorkPermit {
     fn run_if_permitted(&self, write: &mut dyn FnMut()) -> bool {
-        self.lease.run_if_valid(|config| self.allows(config), write)
+        let mut begin = || {
+            self.evacuation.begin();
+            write();
+        };
+        self.lease.run_if_valid(|config| self.allows(config), &mut begin)
     }
 }
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -89,9 +89,13 @@
     ) -> Option<Arc<Vm>> {
         let shares = self.servers.prefix_shares(prefix);
         let now = since_start();
+        let config = self.lease.installed();
+        let is_evacuated =
+            |vm: &Vm| config.as_ref().is_some_and(|config| config.is_evacuated(&vm.data_centre));
         let mut candidates = Vec::new();
         for vm in self.vms.current().pool(pool).iter() {
             if tried.contains(&vm.name)
+                || is_evacuated(vm)
                 || version.is_some_and(|key| self.loads.lacks(&vm.name, key))
             {
                 continue;
--- a/src/route/service_call.rs
+++ b/src/route/service_call.rs
@@ -162,7 +162,8 @@
         }
         let lease = self.lease.clone();
         let work = WorkTarget::Service(request.service.clone());
-        connection.set_permit(WorkPermit::new(lease, request.meta.organisation.clone(), work));
+        let (caller, place) = (request.meta.organisation.clone(), vm.data_centre.clone());
+        connection.set_permit(WorkPermit::new(lease, caller, work, place));
         let taken = unsent_proof.take();
         let work = async {
             let response = connection.send(to_http(request)).await?;
--- a/src/settings/checks.rs
+++ b/src/settings/checks.rs
@@ -15,6 +15,12 @@
 /// heartbeat does not start an election.
 const MIN_HEARTBEATS_PER_ELECTION: u32 = 3;
 
+/// All that is held must be at least this many times what one caller may take of it, so that a few
+/// do not end each other.
+const MIN_CALLERS_HELD: usize = 8;
+/// The size that the kernel starts a send buffer with where none is set, in bytes (tcp(7)).
+const START_SOCKET_BUFFER: usize = 16 << 10;
+
 impl SettingsReader {
     /// Reports listen addresses that are equal, unless the operating system picks the port (0).
     pub fn check_ports(&mut self, ports: &[SocketAddr]) {
@@ -61,6 +67,18 @@
         }
     }
 
+    /// Checks that what one caller may take fits several times into all that is held. The kernel
+    /// may take twice the size of a buffer.
+    pub fn check_held(&mut self, held: usize, ahead: usize, socket_buffer: Option<usize>) {
+        let socket_buffer = socket_buffer.unwrap_or(START_SOCKET_BUFFER);
+        if held / MIN_CALLERS_HELD >= ahead + 2 * socket_buffer {
+            return;
+        }
+        let text =
+            format!("must be at least {MIN_CALLERS_HELD} times 'ahead' and twice 'socket_buffer'");
+        self.add_issue("limits", "held", &text);
+    }
+
     /// Checks that a lease survives the loss of one renewal.
     pub fn check_lease(&mut self, lease: Duration, renew: Duration) {
         if lease >= renew * MIN_RENEWALS_PER_LEASE {
--- a/src/settings/fleet_limits.rs
+++ b/src/settings/fleet_limits.rs
@@ -1,3 +1,4 @@
+use crate::policy::WarmUpBounds;
 use std::time::Duration;
 
 /// Fraction of the revocation bound that a lease lasts.
@@ -19,6 +20,8 @@
     pub revocation_bound: Duration,
     /// Longest time that a router may work under a configuration after a newer one was accepted.
     pub apply_bound: Duration,
+    /// Longest time that a router may send calls to a data centre after its evacuation was accepted.
+    pub evacuation_bound: Duration,
     /// Time between the order to stop a daemon and its forced end.
     pub stop_timeout: Duration,
     /// Longest pause between two calls of one session.
@@ -31,6 +34,8 @@
     pub extra_retries: u32,
     /// Largest fraction of a pool's calls that a bad version may get.
     pub max_exposure: f64,
+    /// What a server that is cold may get in any second.
+    pub warm_up: WarmUpBounds,
 }
 
 impl FleetLimits {
@@ -48,6 +53,11 @@
         self.apply_bound.mul_f64(LAG_FRACTION)
     }
 
+    /// Returns how long leases may last under a configuration without an evacuation after that was accepted.
+    pub fn max_evacuation_lag(&self) -> Duration {
+        self.evacuation_bound.mul_f64(LAG_FRACTION)
+    }
+
     /// Returns how long a router may work on after it has learned of a configuration that it does
     /// not have yet, under a leader that does not keep to [`FleetLimits::max_lag`].
     pub fn outdated_limit(&self) -> Duration {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,19 +5,21 @@
 mod issue;
 mod key;
 mod reader;
+mod region_map;
 mod role;
 mod unit;
 
 pub use fleet_limits::FleetLimits;
 pub use issue::{SettingsErrors, SettingsIssue};
 pub use key::KeySpec;
+pub use region_map::RegionMap;
 pub use role::Role;
 pub use unit::{parse_duration, parse_size};
 
 use crate::error::Error;
 use crate::ledger::Retention;
 use crate::name::{DataCentre, VmName};
-use crate::policy::{BalancePolicy, Weights};
+use crate::policy::{BalancePolicy, PlacementPolicy, WarmUpBounds, Weights};
 use reader::SettingsReader;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -67,6 +69,14 @@
     pub metrics_address: Option<SocketAddr>,
     /// Limits that a fleet of routers and voters keeps.
     pub fleet_limits: FleetLimits,
+    /// The most bytes that a router holds of answers and of the bodies of calls.
+    pub held_limit: usize,
+    /// Bytes of a streamed answer that are read before its caller takes them.
+    pub ahead: usize,
+    /// The size of the kernel's buffers of a connection, in bytes; without one the kernel chooses.
+    pub socket_buffer: Option<usize>,
+    /// Whether calls are refused before they are sent to a pool that has too little room for all.
+    pub admission: bool,
     /// Target number of voters.
     pub target_voters: usize,
     /// Number of ledger groups, fixed when the cluster is bootstrapped.
@@ -87,6 +97,8 @@
     pub replace_after: Duration,
     /// Source of the VM list.
     pub vm_list: VmListSource,
+    /// The region of each data centre.
+    pub regions: RegionMap,
     /// How often the VM list is read.
     pub poll_interval: Duration,
     /// Address of the rating service; without one, answers are not rated.
@@ -107,6 +119,16 @@
     pub connect_timeout: Duration,
     /// Policy that picks the backend server for a request.
     pub balance: BalancePolicy,
+    /// Whether models of one pool get servers of their own as far as there is room.
+    pub separate_models: bool,
+    /// Whether an answer of low confidence is kept until that of a larger model begins.
+    pub keep_first_answer: bool,
+    /// How the server of a call on a configured route is chosen.
+    pub placement: PlacementPolicy,
+    /// What sending a call to another data centre costs, as a time to the first event.
+    pub way: Duration,
+    /// What each KiB of its body adds to that: the time of the links and the price of the bytes.
+    pub way_kib: Duration,
     /// How long a caller may take to send the head of a request, and then its body.
     pub receive_timeout: Duration,
     /// How long an idle connection of a caller is kept open.
@@ -139,6 +161,7 @@
         if settings.role == Role::Router {
             r.check_seeds(&settings.seeds);
         }
+        r.check_held(settings.held_limit, settings.ahead, settings.socket_buffer);
         r.check_lease(settings.lease_duration, settings.renewal_interval);
         r.check_election_timing(
             settings.lease_duration,
@@ -197,10 +220,12 @@
                 fleet_limits.lease_duration()
             },
             renewal_interval: r.duration("lease", "renew", "250ms", "20ms", "1s"),
+            admission: r.switch("overload", "admission"),
             election_timeout: r.duration("consensus", "election", "600ms", "100ms", "10s"),
             heartbeat_interval: r.duration("consensus", "heartbeat", "100ms", "10ms", "2s"),
             replace_after: r.duration("consensus", "replace_after", "10s", "1s", "1h"),
             vm_list: r.vm_list(votes, "platform", "vm_list"),
+            regions: r.region_map("platform", "regions"),
             poll_interval: r.duration("platform", "poll", "500ms", "50ms", "1m"),
             rating_address: r.optional_address("rating", "address"),
             sample_permille: r.number("rating", "sample", 200, 0, 1000),
@@ -209,12 +234,20 @@
                 latency: r.number("weights", "latency", 1, 0, 100) as u32,
                 exposure: r.number("weights", "exposure", 1, 0, 100) as u32,
             },
+            held_limit: r.size("limits", "held", "80MiB", "4MiB", "4096MiB"),
+            ahead: r.size("limits", "ahead", "256KiB", "16KiB", "16MiB"),
+            socket_buffer: r.optional_size("limits", "socket_buffer", "16KiB", "4MiB"),
             body_limit: r.size("limits", "body", "1MiB", "1KiB", "64MiB"),
             default_timeout: r.duration("limits", "deadline", "60s", "100ms", "1h"),
             first_token: r.duration("limits", "first_token", "10s", "50ms", "10m"),
             token_gap: r.duration("limits", "token_gap", "5s", "50ms", "5m"),
             connect_timeout: r.duration("limits", "connect", "500ms", "10ms", "30s"),
             balance: r.balance_policy("routing", "balance"),
+            separate_models: r.boolean("routing", "separate_models"),
+            keep_first_answer: r.boolean("routing", "keep_first_answer"),
+            placement: r.placement_policy("routing", "placement"),
+            way: r.duration("routing", "way", "12ms", "0ms", "10s"),
+            way_kib: r.duration("routing", "way_kib", "0ms", "0ms", "10s"),
             receive_timeout: r.duration("limits", "receive", "10s", "100ms", "5m"),
             idle_timeout: r.duration("limits", "idle", "60s", "1s", "1h"),
             drain_period: r.duration("limits", "drain", "2s", "0ms", "5m"),
@@ -222,15 +255,22 @@
     }
 
     fn read_fleet_limits(r: &mut SettingsReader) -> FleetLimits {
+        let apply_bound = r.duration("promises", "apply", "4s", "500ms", "1m");
+        let (key, other) = (["promises", "evacuate"], ("as apply", apply_bound));
         FleetLimits {
             revocation_bound: r.duration("promises", "revoke", "3s", "1s", "1m"),
-            apply_bound: r.duration("promises", "apply", "4s", "500ms", "1m"),
+            apply_bound,
+            evacuation_bound: r.duration_or(key, other, "500ms", "1m"),
             stop_timeout: r.duration("promises", "stop", "30s", "1s", "10m"),
             session_timeout: r.duration("promises", "session", "1m", "100ms", "24h"),
             retry_ratio: r.decimal("promises", "repeats", 0.1, 0.0, 10.0),
             retry_window: r.duration("promises", "repeat_window", "10s", "1s", "10m"),
             extra_retries: r.number("promises", "repeat_extra", 20, 0, 100_000) as u32,
             max_exposure: r.decimal("promises", "exposure", 0.1, 0.0, 1.0),
+            warm_up: WarmUpBounds {
+                overshoot: r.decimal("promises", "warm_up_overshoot", 1.5, 1.0, 100.0),
+                slack: r.decimal("promises", "warm_up_slack", 5.0, 0.0, 100_000.0),
+            },
         }
     }
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -2,14 +2,14 @@
 use super::key::KeySpec;
 use super::unit::{parse_duration, parse_size};
 use super::{Role, Settings, VmListSource};
-use crate::policy::BalancePolicy;
+use crate::name::is_label;
+use crate::policy::{BalancePolicy, PlacementPolicy};
 use ini::Ini;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
-const MAX_NAME_BYTES: usize = 64;
 const MIN_SECRET_BYTES: usize = 8;
 const ADDRESS_FORMAT: &str = "an IP address and port, such as 10.0.0.5:8080";
 /// Placeholder for an address that is missing, invalid or not needed by the role.
@@ -51,7 +51,7 @@
     }
 
     /// Registers the allowed values and the default of a key, for [`Settings::keys`].
-    fn describe(&mut self, section: &str, key: &str, allowed: &str, default: &str) {
+    pub(super) fn describe(&mut self, section: &str, key: &str, allowed: &str, default: &str) {
         let id = (section.to_owned(), key.to_owned());
         let spec = KeySpec { allowed: allowed.to_owned(), ..KeySpec::new(section, key) };
         self.known_keys.insert(id, KeySpec { default: default.to_owned(), ..spec });
@@ -74,8 +74,7 @@
     pub fn name(&mut self, section: &str, key: &str) -> String {
         let allowed = "1 to 64 letters, digits, '-', '_' or '.'";
         let Some(value) = self.required(section, key, allowed) else { return String::new() };
-        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-        if value.is_empty() || value.len() > MAX_NAME_BYTES || !value.chars().all(plain) {
+        if !is_label(&value) {
             self.add_issue(section, key, &format!("'{value}' is not a name; allowed: {allowed}"));
         }
         value
@@ -147,6 +146,20 @@
         }
     }
 
+    /// A key that is `on` or `off`; without it, `off`.
+    pub fn switch(&mut self, section: &str, key: &str) -> bool {
+        self.describe(section, key, "on or off", "off");
+        match self.get(section, key).as_deref() {
+            None | Some("off") => false,
+            Some("on") => true,
+            Some(value) => {
+                let text = format!("'{value}' is not allowed; give on or off");
+                self.add_issue(section, key, &text);
+                false
+            }
+        }
+    }
+
     pub fn decimal(&mut self, section: &str, key: &str, default: f64, low: f64, high: f64) -> f64 {
         let allowed = format!("a number from {low} to {high}, with decimals");
         self.describe(section, key, &allowed, &default.to_string());
@@ -212,6 +225,21 @@
         self.value_in_range(section, key, [default, low, high], parse_duration, &allowed)
     }
 
+    /// Reads a time that is `other` without the key, as `default` says.
+    pub fn duration_or(
+        &mut self,
+        [section, key]: [&str; 2],
+        (default, other): (&str, Duration),
+        low: &str,
+        high: &str,
+    ) -> Duration {
+        let is_given = self.get(section, key).is_some();
+        let given = self.duration(section, key, low, low, high);
+        let allowed = format!("a time from {low} to {high} in ms, s, m or h");
+        self.describe(section, key, &allowed, default);
+        if is_given { given } else { other }
+    }
+
     pub fn size(
         &mut self,
         section: &str,
@@ -224,6 +252,20 @@
         self.value_in_range(section, key, [default, low, high], parse_size, &allowed)
     }
 
+    pub fn optional_size(
+        &mut self,
+        section: &str,
+        key: &str,
+        low: &str,
+        high: &str,
+    ) -> Option<usize> {
+        let is_given = self.get(section, key).is_some();
+        let given = self.size(section, key, low, low, high);
+        let allowed = format!("a size from {low} to {high} in B, KiB or MiB");
+        self.describe(section, key, &allowed, "none");
+        is_given.then_some(given)
+    }
+
     /// Reads a value with a unit; `values` are its default, minimum and maximum.
     fn value_in_range<T>(
         &mut self,
@@ -280,6 +322,20 @@
         }
     }
 
+    pub fn placement_policy(&mut self, section: &str, key: &str) -> PlacementPolicy {
+        let allowed = "fixed or learned";
+        self.describe(section, key, allowed, "fixed");
+        let Some(value) = self.get(section, key) else { return PlacementPolicy::default() };
+        match value.as_str() {
+            "fixed" => PlacementPolicy::Fixed,
+            "learned" => PlacementPolicy::Learned,
+            _ => {
+                self.add_issue(section, key, &format!("'{value}' is not allowed; give {allowed}"));
+                PlacementPolicy::default()
+            }
+        }
+    }
+
     /// Returns the settings, or all errors that were found.
     pub fn finish(mut self, settings: Settings) -> Result<Settings, SettingsErrors> {
         self.check_sections();
--- a/tests/config_in_time/day.rs
+++ b/tests/config_in_time/day.rs
@@ -1,5 +1,6 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use samphireshift::policy::WarmUpBounds;
 use samphireshift::settings::FleetLimits;
 use std::time::Duration;
 
@@ -80,11 +81,13 @@
     FleetLimits {
         revocation_bound: Duration::from_millis(REVOCATION_MS),
         apply_bound: Duration::from_millis(APPLY_MS),
+        evacuation_bound: Duration::from_millis(APPLY_MS),
         stop_timeout: Duration::from_secs(8),
         session_timeout: Duration::from_secs(5),
         retry_ratio: 0.1,
         retry_window: Duration::from_secs(10),
         extra_retries: 20,
         max_exposure: 0.1,
+        warm_up: WarmUpBounds::default(),
     }
 }
--- a/tests/consensus_explore.rs
+++ b/tests/consensus_explore.rs
@@ -26,6 +26,8 @@
     crash: 0,
     wipe: 0,
     freeze: 0,
+    stall: 0,
+    stall_all: 0,
     transfer: 0,
     from_bootstrap: false,
 };
@@ -38,9 +40,15 @@
 #[case::snapshots(Case { faults: FaultRates { crash: 6, compact: 60, change: 60, duplicate: 200, ..NETWORK } })]
 #[case::growth(Case { faults: FaultRates { crash: 40, change: 100, from_bootstrap: true, ..NETWORK } })]
 #[case::partitions(Case { faults: FaultRates { crash: 6, freeze: 12, isolate: 40, change: 200, ..NETWORK } })]
+#[case::stalls(Case { faults: FaultRates { crash: 12, stall: 40, stall_all: 4, isolate: 12, ..NETWORK } })]
+#[case::stalled_hand_overs(Case { faults: FaultRates { crash: 6, stall: 40, transfer: 12, ..NETWORK } })]
+#[case::stalled_snapshots(Case { faults: FaultRates { crash: 12, stall: 40, compact: 60, change: 60, ..NETWORK } })]
 #[case::all(Case {
     faults: FaultRates { crash: 12, wipe: 2, freeze: 8, transfer: 6, compact: 30, change: 80, ..NETWORK },
 })]
+#[case::all_with_stalls(Case {
+    faults: FaultRates { crash: 12, wipe: 2, freeze: 8, stall: 20, stall_all: 2, transfer: 6, compact: 30, change: 80, ..NETWORK },
+})]
 fn invariants_hold(#[case] case: Case) {
     let seeds = std::env::var("SAMPHIRESHIFT_SEEDS").ok().and_then(|text| text.parse().ok());
     for seed in 0..seeds.unwrap_or(DEFAULT_SEEDS) {
--- a/tests/elections.rs
+++ b/tests/elections.rs
@@ -65,8 +65,8 @@
         for raft in self.rafts.iter_mut().flatten() {
             raft.tick(Duration::from_millis(now_ms));
             let output = raft.take_output();
-            if output.needs_sync() {
-                raft.on_persisted();
+            if let Some(write) = output.write {
+                raft.on_persisted(write);
             }
             for message in output.immediate.into_iter().chain(output.after_sync) {
                 let delay_ms = self.rng.random_range(1..=self.max_delay_ms);
--- a/tests/env/fleet.rs
+++ b/tests/env/fleet.rs
@@ -221,15 +221,20 @@
 
     /// Waits until a daemon leads the control group; returns its index.
     pub async fn leader(&self) -> usize {
+        self.leader_of(&Value::from("Control")).await
+    }
+
+    /// Waits until a daemon leads a group, as the status names it; returns the daemon's index.
+    pub async fn leader_of(&self, group: &Value) -> usize {
         let mut found = None;
-        await_until("a leader of the control group", async || {
+        await_until("a leader of the group", async || {
             for i in 0..self.daemons.len() {
                 let status = self.operate(i, "GET", "/v1/status", &Value::Null).await.json();
                 let daemons = status["daemons"].as_array().cloned().unwrap_or_default();
                 let name = &self.daemons[i].name;
                 let own = daemons.iter().find(|daemon| daemon["vm"] == name.as_str());
                 let groups = own.and_then(|own| own["groups"].as_array().cloned());
-                let leads = |view: &Value| view["group"] == "Control" && view["leading"] == true;
+                let leads = |view: &Value| view["group"] == *group && view["leading"] == true;
                 if groups.unwrap_or_default().iter().any(leads) {
                     found = Some(i);
                 }
--- a/tests/faults_ledger.rs
+++ b/tests/faults_ledger.rs
@@ -7,7 +7,7 @@
 use env::proxy::ProxyFault;
 use env::{Fleet, FleetSpec, ticket};
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
 /// Limit of the time that a duplicate call waits for the outcome of a router that is gone.
@@ -191,3 +191,32 @@
     assert!(after.into_iter().all(|(link, before)| link.2.accepted_connections() > *before));
     assert_eq!(checker.violations(&fleet).await, Vec::<String>::new());
 }
+
+/// Guards against sums that lack bills of answered calls, where another daemon leads the ledger
+/// group than the control group (found by CI, which lost a leader between two calls).
+#[tokio::test(flavor = "multi_thread")]
+async fn bills_of_answered_calls_are_shown_whoever_leads_their_ledger() {
+    const MAX_ELECTIONS: usize = 12;
+    let mut fleet = start().await;
+    let ledger = json!({ "Ledger": 0 });
+    for _ in 0..MAX_ELECTIONS {
+        let leader = fleet.leader().await;
+        if fleet.leader_of(&ledger).await != leader {
+            break;
+        }
+        fleet.restart(leader);
+        fleet.await_ready().await;
+    }
+    let leader = fleet.leader().await;
+    assert_ne!(fleet.leader_of(&ledger).await, leader, "the groups have unlike leaders");
+    let prompt = json!({ "model": "auto", "messages": [{ "role": "user", "content": "hello" }] });
+    for count in 1..=20 {
+        let answer = fleet.chat(count % 3, &[], &prompt).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        let sums = fleet.operate(leader, "GET", "/v1/bills", &Value::Null).await.json();
+        assert_eq!(sums[0][1]["count"], count, "{sums}");
+        let name = sums[0][0].as_str().expect("the sums name an organisation");
+        let bills = fleet.operate(leader, "GET", &format!("/v1/bills/{name}"), &Value::Null).await;
+        assert_eq!(bills.json().as_array().map(Vec::len), Some(count), "{}", bills.text());
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -78,6 +78,13 @@
 #[case::no_unit("[platform]", "[platform]\npoll = 500", "platform", "poll", "in ms, s, m or h")]
 #[case::unknown_unit("[platform]", "[platform]\npoll = 5d", "platform", "poll", "in ms, s, m or h")]
 #[case::size_unit("[vm]", "[limits]\nbody = 5GB\n[vm]", "limits", "body", "in B, KiB or MiB")]
+#[case::held_too_small(
+    "[vm]",
+    "[limits]\nheld = 8MiB\nahead = 1MiB\n[vm]",
+    "limits",
+    "held",
+    "8 times 'ahead' and twice 'socket_buffer'"
+)]
 #[case::short_lease(
     "[vm]",
     "[lease]\nduration = 1800ms\nrenew = 700ms\n[vm]",
@@ -141,6 +148,14 @@
     assert_eq!(places, ["vm.name", "listen.callers", "listen.operators", "listen.peers", "vm.x"]);
 }
 
+#[rstest]
+#[case::by_the_kernel("", None)]
+#[case::as_set("[limits]\nsocket_buffer = 64KiB\n", Some(64 << 10))]
+fn buffers_have_a_size_only_where_it_is_set(#[case] lines: &str, #[case] size: Option<usize>) {
+    let settings = Settings::parse("entry.ini", &format!("{VALID}{lines}")).unwrap();
+    assert_eq!(settings.socket_buffer, size);
+}
+
 #[test]
 fn a_text_that_is_not_an_ini_file_is_reported() {
     let found = issues("[vm\nname");
--- a/tests/simulation/disk.rs
+++ b/tests/simulation/disk.rs
@@ -28,6 +28,17 @@
         }
     }
 
+    /// Term and vote.
+    pub fn hard_state(&self) -> HardState {
+        self.hard_state
+    }
+
+    /// Index of the last entry, or of the snapshot.
+    pub fn last_index(&self) -> u64 {
+        let snapshot = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        self.entries.last().map_or(snapshot, |entry| entry.index)
+    }
+
     pub fn compact(&mut self, snapshot: Snapshot) {
         self.entries.retain(|entry| entry.index > snapshot.index);
         self.snapshot = Some(snapshot);
@@ -40,8 +51,7 @@
     /// Index and state hash of the snapshot; zeros without one.
     pub fn snapshot_state(&self) -> (u64, u64) {
         let Some(snapshot) = &self.snapshot else { return (0, 0) };
-        let bytes = snapshot.data.as_ref().try_into().expect("a snapshot is eight bytes long");
-        (snapshot.index, u64::from_le_bytes(bytes))
+        state_in(snapshot)
     }
 
     /// Configuration in the newest log entry with one, or else the configuration of the snapshot.
@@ -55,3 +65,9 @@
         from_log.unwrap_or_else(from_snapshot)
     }
 }
+
+/// Index and state hash of a snapshot.
+pub fn state_in(snapshot: &Snapshot) -> (u64, u64) {
+    let bytes = snapshot.data.as_ref().try_into().expect("a snapshot is eight bytes long");
+    (snapshot.index, u64::from_le_bytes(bytes))
+}
--- a/tests/simulation/fault_rates.rs
+++ b/tests/simulation/fault_rates.rs
@@ -11,6 +11,10 @@
     pub wipe: u32,
     /// Pause of a node, whose messages wait meanwhile.
     pub freeze: u32,
+    /// Stall of a disk, whose writes wait meanwhile.
+    pub stall: u32,
+    /// Stall of all disks at once.
+    pub stall_all: u32,
     /// Loss of all messages from and to a node for some time.
     pub isolate: u32,
     pub change: u32,
--- a/tests/simulation/invariant_checker.rs
+++ b/tests/simulation/invariant_checker.rs
@@ -1,7 +1,7 @@
 //! Checks of the Raft safety properties after every step of the simulation.
 
 use super::{SimulatedNode, is_command};
-use samphireshift::consensus::{Entry, MemberId, Payload};
+use samphireshift::consensus::{Entry, MemberId, Message, MessageBody, Payload};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -42,6 +42,33 @@
         }
     }
 
+    /// A message promises nothing that a crash of its sender could undo.
+    pub fn check_promise(&self, node: &SimulatedNode, message: &Message) {
+        let hard_state = node.disk.hard_state();
+        let shown = match message.body {
+            MessageBody::RequestPreVote { .. } => message.term - 1,
+            // Repeats the term of the request.
+            MessageBody::PreVoteResponse { granted: true } => 0,
+            _ => message.term,
+        };
+        assert!(shown <= hard_state.term, "{message:?} is sent with {hard_state:?} on disk");
+        match message.body {
+            MessageBody::AppendResponse { accepted: true, index, .. } => {
+                let last = node.disk.last_index();
+                assert!(index <= last, "{message:?} is sent with a log up to {last} on disk");
+            }
+            MessageBody::RequestVote { last_index, .. } => {
+                let last = node.disk.last_index();
+                assert!(last_index <= last, "{message:?} is sent with a log up to {last} on disk");
+            }
+            MessageBody::VoteResponse { granted: true } => {
+                let voted = hard_state.term > message.term || hard_state.vote == Some(message.to);
+                assert!(voted, "{message:?} is sent with {hard_state:?} on disk");
+            }
+            _ => {}
+        }
+    }
+
     /// State-machine safety: all members apply the same entry at an index.
     pub fn check_applied(&mut self, state: u64, entry: &Entry) -> u64 {
         let next = chained_hash(state, entry);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -4,16 +4,21 @@
 pub mod disk;
 pub mod fault_rates;
 pub mod invariant_checker;
+pub mod pending_work;
 pub mod simulated_node;
 
 use disk::Disk;
 pub use fault_rates::FaultRates;
 use invariant_checker::InvariantChecker;
+use pending_work::PendingWork;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use samphireshift::consensus::{Member, MemberId, Members, Message, Output, Payload, Raft, Timing};
+use samphireshift::consensus::{
+    Entry, Member, MemberId, Members, Message, Output, Payload, Raft, Timing,
+};
 use samphireshift::name::{DataCentre, VmName};
 pub use simulated_node::SimulatedNode;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 pub const TIMING: Timing = Timing {
@@ -104,6 +109,8 @@
             clock_rate,
             frozen_until: Duration::ZERO,
             isolated_until: Duration::ZERO,
+            stalled_until: Duration::ZERO,
+            pending: VecDeque::new(),
         };
         node.start(self.now, self.rng.random());
         node
@@ -131,7 +138,7 @@
             self.nodes[i].start(self.now, seed);
         }
         if self.chance(faults.crash) {
-            self.nodes[i].raft = None;
+            self.crash(i);
         }
         if self.chance(faults.wipe) {
             self.wipe(i);
@@ -142,6 +149,16 @@
         if self.chance(faults.isolate) {
             self.nodes[i].isolated_until = self.now + self.random_duration(400);
         }
+        if faults.stall > 0 && self.chance(faults.stall) {
+            self.nodes[i].stalled_until = self.now + self.random_duration(400);
+        }
+        if faults.stall_all > 0 && self.chance(faults.stall_all) {
+            let until = self.now + self.random_duration(400);
+            self.nodes.iter_mut().for_each(|node| node.stalled_until = until);
+        }
+        if self.is_running(i) {
+            self.work_disk(i);
+        }
         match self.rng.random_range(0..10) {
             0 => self.propose(i),
             1 | 2 => self.advance(),
@@ -225,50 +242,85 @@
         }
     }
 
-    /// Handles the output of a node as the driver of a group does. A crash may happen before the
-    /// sync, or between the sync and the messages that depend on it.
+    /// Handles the output of a node as the driver of a group does, and lets the disk work on it
+    /// unless it stalls.
     fn flush(&mut self, i: usize) {
         loop {
             let Some(raft) = &mut self.nodes[i].raft else { return };
-            let Output { immediate, snapshot, hard_state, entries, after_sync, committed } =
-                raft.take_output();
-            let writes = snapshot.is_some() || hard_state.is_some() || !entries.is_empty();
-            if !writes && immediate.is_empty() && after_sync.is_empty() && committed.is_empty() {
+            let output = raft.take_output();
+            if output.is_empty() {
                 return;
             }
+            let Output { immediate, snapshot, hard_state, entries, write, after_sync, committed } =
+                output;
             self.checker.check_log_matching(&self.nodes[i], &entries);
-            self.in_flight.extend(immediate);
-            if self.chance(self.faults.crash / 2) {
-                self.nodes[i].raft = None;
-                return;
-            }
+            self.send(i, immediate);
             let node = &mut self.nodes[i];
-            node.disk.write(hard_state, snapshot.as_ref(), &entries);
-            if let Some(snapshot) = snapshot {
-                (node.applied_index, node.state_hash) = node.disk.snapshot_state();
+            if let Some(snapshot) = &snapshot {
+                (node.applied_index, node.state_hash) = disk::state_in(snapshot);
                 self.checker.check_state(snapshot.index, node.state_hash);
             }
+            let (number, installed) = (write, snapshot);
+            let work = PendingWork::Write { number, hard_state, installed, entries, after_sync };
+            node.pending.push_back(work);
+            self.apply(i, committed);
+            self.work_disk(i);
+        }
+    }
+
+    fn apply(&mut self, i: usize, committed: Vec<Entry>) {
+        let node = &mut self.nodes[i];
+        for entry in committed {
+            assert_eq!(
+                entry.index,
+                node.applied_index + 1,
+                "a committed entry was skipped or repeated"
+            );
+            node.applied_index = entry.index;
+            node.state_hash = self.checker.check_applied(node.state_hash, &entry);
+        }
+    }
+
+    fn send(&mut self, i: usize, messages: Vec<Message>) {
+        for message in &messages {
+            self.checker.check_promise(&self.nodes[i], message);
+        }
+        self.in_flight.extend(messages);
+    }
+
+    /// Lets the disk of a node do what is queued, unless it stalls. A crash may happen before a
+    /// sync, or between the sync and the messages that depend on it.
+    fn work_disk(&mut self, i: usize) {
+        while self.nodes[i].stalled_until <= self.now {
+            let node = &mut self.nodes[i];
+            let Some(work) = node.pending.pop_front() else { return };
+            let (number, hard_state, installed, entries, after_sync) = match work {
+                PendingWork::Compact(snapshot) => {
+                    node.disk.compact(snapshot);
+                    continue;
+                }
+                PendingWork::Write { number, hard_state, installed, entries, after_sync } => {
+                    (number, hard_state, installed, entries, after_sync)
+                }
+            };
             if self.chance(self.faults.crash / 2) {
-                self.nodes[i].raft = None;
-                return;
+                return self.crash(i);
             }
-            if writes {
-                self.raft(i).on_persisted();
+            self.nodes[i].disk.write(hard_state, installed.as_ref(), &entries);
+            if self.chance(self.faults.crash / 2) {
+                return self.crash(i);
             }
-            self.in_flight.extend(after_sync);
-            for entry in committed {
-                let node = &mut self.nodes[i];
-                assert_eq!(
-                    entry.index,
-                    node.applied_index + 1,
-                    "a committed entry was skipped or repeated"
-                );
-                node.applied_index = entry.index;
-                node.state_hash = self.checker.check_applied(node.state_hash, &entry);
+            if let Some(number) = number {
+                self.raft(i).on_persisted(number);
             }
+            self.send(i, after_sync);
         }
     }
 
+    fn crash(&mut self, i: usize) {
+        self.nodes[i].crash();
+    }
+
     /// Replaces a node by a new member with an empty disk. At most one voter is lost at a time: not
     /// before the last one lost has left every configuration.
     fn wipe(&mut self, i: usize) {
@@ -331,10 +383,14 @@
         self.flush(i);
         let node = &mut self.nodes[i];
         let Some(raft) = &mut node.raft else { return };
+        if node.applied_index > raft.persisted_index() {
+            return;
+        }
         let data = node.state_hash.to_le_bytes().to_vec();
         let snapshot = raft.snapshot_at(node.applied_index, data.into());
         raft.compact(snapshot.clone());
-        node.disk.compact(snapshot);
+        node.pending.push_back(PendingWork::Compact(snapshot));
+        self.work_disk(i);
     }
 
     pub fn check(&mut self) {
@@ -347,6 +403,7 @@
         for i in 0..NODE_COUNT {
             self.nodes[i].frozen_until = Duration::ZERO;
             self.nodes[i].isolated_until = Duration::ZERO;
+            self.nodes[i].stalled_until = Duration::ZERO;
             if self.nodes[i].raft.is_none() {
                 self.nodes[i].start(self.now, self.rng.random());
             }
@@ -361,6 +418,7 @@
                 }
                 _ => self.deliver(),
             }
+            (0..NODE_COUNT).for_each(|i| self.work_disk(i));
             (0..NODE_COUNT).for_each(|i| self.flush(i));
             self.check();
             if self.checker.command_count() > before {
--- a/tests/simulation/simulated_node.rs
+++ b/tests/simulation/simulated_node.rs
@@ -1,8 +1,10 @@
 //! One member of the simulated cluster.
 
 use super::disk::Disk;
+use super::pending_work::PendingWork;
 use super::{CHUNK_BYTES, TIMING};
 use samphireshift::consensus::{MemberId, Raft};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Member of the simulated cluster.
@@ -13,6 +15,8 @@
     /// `None` while the node is stopped.
     pub raft: Option<Raft>,
     pub disk: Disk,
+    /// Work that the disk has not done yet; a crash loses it.
+    pub(super) pending: VecDeque<PendingWork>,
     pub applied_index: u64,
     /// Hash of the replicated state.
     pub state_hash: u64,
@@ -20,6 +24,7 @@
     pub(super) clock_rate: f64,
     pub(super) frozen_until: Duration,
     pub(super) isolated_until: Duration,
+    pub(super) stalled_until: Duration,
 }
 
 impl SimulatedNode {
@@ -28,6 +33,12 @@
         now.mul_f64(self.clock_rate)
     }
 
+    /// Loses everything but the disk.
+    pub(super) fn crash(&mut self) {
+        self.raft = None;
+        self.pending.clear();
+    }
+
     pub(super) fn start(&mut self, now: Duration, seed: u64) {
         self.boot_count += 1;
         (self.applied_index, self.state_hash) = self.disk.snapshot_state();
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -159,6 +159,17 @@
             Case { arguments: &["--json", "parts"], code: 0, text: "[]" },
             Case { arguments: &["parts", "--clear", "5c1e07a2"], code: 1, text: "is not blocked" },
             Case { arguments: &["parts", "--clear", "here"], code: 2, text: "hexadecimal" },
+            Case { arguments: &["evacuations"], code: 0, text: "no data centre is evacuated" },
+            Case { arguments: &["evacuations", "begin", "dc-9"], code: 1, text: "check its name" },
+            Case {
+                arguments: &["evacuations", "begin", "dc-1"],
+                code: 0,
+                text: "get no new calls",
+            },
+            Case { arguments: &["--json", "evacuations"], code: 0, text: "[\"dc-1\"]" },
+            Case { arguments: &["evacuations", "finish", "dc-1"], code: 0, text: "is taken back" },
+            Case { arguments: &["evacuations", "finish", "dc-1"], code: 0, text: "is taken back" },
+            Case { arguments: &["evacuations"], code: 0, text: "no data centre is evacuated" },
             Case { arguments: &["nonsense"], code: 2, text: "Unrecognized argument" },
         ],
     );
--- a/tests/warm_up.rs
+++ b/tests/warm_up.rs
@@ -8,7 +8,7 @@
 use samphireshift::name::VmName;
 use samphireshift::policy::{
     Admission, LimitAsk, LimitDemand, LimitNews, LimitPosition, LocalLimits, SharedLimits,
-    TurnPlace, WarmingServers,
+    TurnPlace, WarmUpBounds, WarmingServers,
 };
 use std::time::Duration;
 
@@ -22,10 +22,26 @@
 /// The least part of the rate that is to be used while all routers have calls.
 const USED: f64 = 0.9;
 const USED_AT_RANDOM: f64 = 0.25;
+/// The least part of what chance lets meet that is to be used where calls are few.
+const USED_BY_FEW: f64 = 0.5;
 const SERVERS: usize = 20;
 /// How much later than others a router hears that servers are warming up.
 const HEARD_MS: u64 = 50;
 
+/// How far the time of day is ahead of the routers' own time.
+const DAY: Duration = Duration::from_secs(20_000 * 86_400);
+
+/// How the routers come to know.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Source {
+    /// The leader tells them.
+    Leader,
+    /// Each holds it by itself, for the whole day.
+    Own,
+    /// Each holds it by itself until the leader tells, a second later.
+    OwnThenLeader,
+}
+
 /// What happens on a day.
 #[derive(Debug, Clone, Copy)]
 struct Day {
@@ -38,6 +54,14 @@
     idle_ms: u64,
     /// Whether the leader knows the routers' places.
     placed: bool,
+    source: Source,
+    /// A router hears up to this much later than others. It sends nothing before.
+    heard_ms: u64,
+    bounds: WarmUpBounds,
+    /// By how much the clocks of routers' machines differ from the leader's at most.
+    skew_ms: u64,
+    /// How long half an exchange with the leader takes at most, if it has told its time.
+    told_ms: Option<u64>,
 }
 
 fn at(ms: u64) -> Duration {
@@ -58,23 +82,57 @@
     }
 }
 
+/// A router that has its place, and the moment when it hears of cold servers.
+fn router(day: Day, index: u32, random: &mut Pcg64Mcg) -> (LocalLimits, u64) {
+    let mut router = LocalLimits::new(random.random());
+    router.set_fleet(at(0), day.routers);
+    router.warm_ups_mut().set_bounds(day.bounds);
+    let place = TurnPlace { index, count: day.routers };
+    router.warm_ups_mut().set_place(Some(place).filter(|_| day.placed));
+    let skew = random.random_range(0..=day.skew_ms);
+    router.warm_ups_mut().set_day_offset(DAY + Duration::from_millis(skew));
+    if let Some(told_ms) = day.told_ms {
+        let mut message = || Duration::from_millis(random.random_range(0..=told_ms));
+        let (there, back) = (message(), message());
+        router.warm_ups_mut().hear_time(at(0), at(0) - there - back, at(0) - back + DAY);
+    }
+    (router, random.random_range(0..=day.heard_ms / STEP_MS) * STEP_MS)
+}
+
+fn learn(router: &mut LocalLimits, index: u32, day: Day, heard: u64, now: u64) {
+    let place = TurnPlace { index, count: day.routers };
+    let told = news(day.rate, 1, Some(place).filter(|_| day.placed));
+    let told_at = match day.source {
+        Source::Leader => Some(heard),
+        Source::Own => None,
+        Source::OwnThenLeader => Some(heard + 1_000),
+    };
+    if now == heard && day.source != Source::Leader {
+        let lasts = Duration::from_secs(50);
+        for index in 0..SERVERS {
+            let warm_ups = router.warm_ups_mut();
+            warm_ups.presume(at(heard), &server(index), day.rate, lasts, false);
+        }
+    }
+    if told_at == Some(now) {
+        router.apply(at(now), at(0), &told);
+    }
+}
+
 /// When each server got requests.
 fn play(day: Day, seed: u64) -> Vec<Vec<u64>> {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let mut routers: Vec<LocalLimits> =
-        (0..day.routers).map(|_| LocalLimits::new(random.random())).collect();
-    for (index, router) in routers.iter_mut().enumerate() {
-        router.set_fleet(at(0), day.routers);
-        let place = TurnPlace { index: index as u32, count: day.routers };
-        let place = Some(place).filter(|_| day.placed);
-        let heard = random.random_range(0..=HEARD_MS);
-        router.apply(at(heard), at(0), &news(day.rate, 1, place));
-    }
+    let mut routers: Vec<(LocalLimits, u64)> =
+        (0..day.routers).map(|index| router(day, index, &mut random)).collect();
     let mut arrivals = vec![Vec::new(); SERVERS];
     let calls = day.calls * STEP_MS as f64 / 1_000.0 / f64::from(day.routers);
-    let start = HEARD_MS + day.idle_ms;
-    for now in (start..start + WARM_UP_MS).step_by(STEP_MS as usize) {
-        for router in &mut routers {
+    let end = day.heard_ms + day.idle_ms + WARM_UP_MS;
+    for now in (0..end).step_by(STEP_MS as usize) {
+        for (index, (router, heard)) in routers.iter_mut().enumerate() {
+            learn(router, index as u32, day, *heard, now);
+            if now <= *heard || now < day.idle_ms {
+                continue;
+            }
             for (index, arrived) in arrivals.iter_mut().enumerate() {
                 let has_call = random.random_bool(calls.min(1.0));
                 if has_call && router.take(at(now), &server(index)).is_some() {
@@ -86,6 +144,14 @@
     arrivals
 }
 
+/// The part of the usable rate that a few calls make up if they meet turns by chance: each meets one for
+/// as long as it is kept.
+fn least_meeting(day: Day) -> f64 {
+    let turns = day.rate * day.bounds.placed_fraction(day.rate) / f64::from(day.routers);
+    let meeting = (turns * day.bounds.kept(day.rate).as_secs_f64()).min(1.0);
+    (day.calls * meeting / day.rate.min(day.calls)).min(1.0)
+}
+
 fn most_in_window(arrived: &[u64]) -> usize {
     let ends = arrived.iter().enumerate();
     let count = |(first, start): (usize, &u64)| {
@@ -94,8 +160,27 @@
     ends.map(count).max().unwrap_or(0)
 }
 
-const FEW: Day = Day { routers: 3, rate: 8.4, calls: 1_000.0, idle_ms: 0, placed: true };
+const FEW: Day = Day {
+    routers: 3,
+    rate: 8.4,
+    calls: 1_000.0,
+    idle_ms: 0,
+    placed: true,
+    source: Source::Leader,
+    heard_ms: HEARD_MS,
+    bounds: WarmUpBounds { overshoot: OVERSHOOT, slack: SLACK },
+    skew_ms: 0,
+    told_ms: None,
+};
 const MANY: Day = Day { routers: 83, calls: 20_000.0, ..FEW };
+const MORE: Day = Day { routers: 191, calls: 40_000.0, ..FEW };
+const HUGE: Day = Day { routers: 350, calls: 70_000.0, ..FEW };
+/// Less and more room than the users' rule leaves.
+const TIGHT: WarmUpBounds = WarmUpBounds { overshoot: 1.1, slack: 4.0 };
+const WIDE: WarmUpBounds = WarmUpBounds { overshoot: 3.0, slack: 20.0 };
+/// Servers that come back under the load of an ordinary day, and as the one that everybody wants.
+const ORDINARY: f64 = 4.0;
+const WANTED: f64 = 32.0;
 
 #[rstest]
 #[case::few(FEW)]
@@ -108,17 +193,52 @@
 #[case::few_at_random(Day { placed: false, ..FEW })]
 #[case::many_at_random(Day { placed: false, ..MANY })]
 #[case::many_at_random_after_idling(Day { placed: false, idle_ms: 20_000, ..MANY })]
-#[case::huge(Day { routers: 350, rate: 20.0, calls: 70_000.0, ..FEW })]
+#[case::huge(Day { rate: 20.0, ..HUGE })]
+#[case::few_tight(Day { bounds: TIGHT, ..FEW })]
+#[case::many_tight(Day { bounds: TIGHT, ..MANY })]
+#[case::many_tight_after_idling(Day { bounds: TIGHT, idle_ms: 20_000, ..MANY })]
+#[case::more_tight_heard_unlike(Day { bounds: TIGHT, heard_ms: 3_000, ..MORE })]
+#[case::many_wide(Day { bounds: WIDE, ..MANY })]
+#[case::many_wide_at_random(Day { bounds: WIDE, placed: false, ..MANY })]
+#[case::few_heard_unlike(Day { heard_ms: 3_000, ..FEW })]
+#[case::many_heard_unlike(Day { heard_ms: 100, ..MANY })]
+#[case::many_heard_more_unlike(Day { heard_ms: 3_000, ..MANY })]
+#[case::more_heard_unlike(Day { heard_ms: 1_000, ..MORE })]
+#[case::huge_heard_unlike(Day { heard_ms: 3_000, ..HUGE })]
+#[case::few_by_themselves(Day { source: Source::Own, ..FEW })]
+#[case::many_by_themselves(Day { source: Source::Own, heard_ms: 3_000, ..MANY })]
+#[case::many_by_themselves_at_random(Day { source: Source::Own, placed: false, ..MANY })]
+#[case::many_told_later(Day { source: Source::OwnThenLeader, heard_ms: 1_000, ..MANY })]
+#[case::more_told_later(Day { source: Source::OwnThenLeader, heard_ms: 3_000, ..MORE })]
+#[case::huge_told_later(Day { source: Source::OwnThenLeader, heard_ms: 3_000, ..HUGE })]
+#[case::many_with_wrong_clocks(Day { skew_ms: 10_000, told_ms: Some(20), ..MANY })]
+#[case::many_with_wrong_clocks_after_idling(
+    Day { skew_ms: 2_000, told_ms: Some(20), idle_ms: 20_000, ..MANY }
+)]
+#[case::huge_with_wrong_clocks_after_idling(
+    Day { skew_ms: 60_000, told_ms: Some(50), idle_ms: 20_000, ..HUGE }
+)]
+#[case::few_wanted(Day { calls: WANTED, source: Source::Own, heard_ms: 1_000, ..FEW })]
+#[case::many_wanted(Day { calls: WANTED, source: Source::Own, heard_ms: 1_000, ..MANY })]
+#[case::huge_wanted(Day { calls: WANTED, source: Source::Own, heard_ms: 1_000, ..HUGE })]
+#[case::few_ordinary(Day { calls: ORDINARY, source: Source::Own, heard_ms: 1_000, ..FEW })]
+#[case::huge_ordinary(Day { calls: ORDINARY, source: Source::Own, heard_ms: 1_000, ..HUGE })]
 fn a_warming_server_gets_few_requests_and_its_share(#[case] day: Day) {
-    let allowed = day.rate * OVERSHOOT + SLACK;
+    let allowed = day.bounds.allowed(day.rate);
     for seed in 1..=SEEDS {
         let arrivals = play(day, seed);
         let most = arrivals.iter().map(|arrived| most_in_window(arrived)).max().unwrap_or(0);
         assert!(most as f64 <= allowed, "seed {seed}: {most} in a second, allowed {allowed}");
-        let all: usize = arrivals.iter().map(Vec::len).sum();
+        let late = |at: &&u64| **at >= day.heard_ms + day.idle_ms;
+        let all: usize = arrivals.iter().map(|arrived| arrived.iter().filter(late).count()).sum();
         let seconds = WARM_UP_MS as f64 / 1_000.0 * SERVERS as f64;
         let used = all as f64 / (day.rate.min(day.calls) * seconds);
-        let wanted = if day.placed { USED } else { USED_AT_RANDOM };
+        let wanted = match day.calls <= WANTED {
+            // Where calls are fewer than turns, a router may have none when its turn comes.
+            true => USED_BY_FEW * least_meeting(day),
+            false if day.placed => USED,
+            false => USED_AT_RANDOM,
+        };
         assert!(used >= wanted, "seed {seed}: {used:.3} of the rate is used");
     }
 }
