Take no call before it is known what ends servers

By reading: a router asks a voter for the blocked parts, then for the lease, and did not look at the first result. A voter that came to lead between the two said 'not the leader' to the first and granted the lease to the second. Questions on cold servers and connections, new since, lie between them and made the gap wider. Change: without a valid lease none is asked for until a leader has told what ends servers; the leader's address is taken from its response.

--- a/src/gateway/lease_loop.rs
+++ b/src/gateway/lease_loop.rs
@@ -4,7 +4,7 @@
 use super::cold_loop::{self, share_cold};
 use super::connection_loop::{self, keep_to_parts, share_connections};
 use super::limit_loop::{self, serve_waiting_calls, share_limits};
-use super::part_loop::{self, share_parts};
+use super::part_loop::{self, ReportResult, share_parts};
 use super::voters::Voters;
 use crate::control::{Config, PoolRolloutStatus, RouterId};
 use crate::distribution::{Chunk, ReceiveError, RouterState};
@@ -94,8 +94,9 @@
         }
         let Some((address, peer)) = self.voters.connection.clone() else { return false };
         let is_new = self.gateway.helpers.leader.borrow().is_none();
-        if is_new {
-            self.learn_first(&peer).await;
+        // Without the parts that end servers no call may be accepted, so the lease is not asked for.
+        if is_new && !self.learn_first(address, &peer).await && !self.gateway.lease.is_valid() {
+            return false;
         }
         let renewed = match peer.version >= ProtocolVersion::STATE_CHANGES {
             true => self.renew_with_changes(address, &peer).await,
@@ -127,12 +128,24 @@
         }
     }
 
-    /// Learns what ends servers and what their limits are, before the first calls are accepted.
-    async fn learn_first(&self, peer: &Dialed) {
+    /// Learns what ends servers and what their limits are, before the first calls are accepted. Returns
+    /// false if the voter did not tell what ends servers: it may come to lead before it is asked for the
+    /// lease.
+    async fn learn_first(&mut self, address: SocketAddr, peer: &Dialed) -> bool {
         let (gateway, router) = (&self.gateway, &self.router_id());
         gateway.parts.report_anew();
         if peer.version >= ProtocolVersion::DEADLY_PARTS {
-            part_loop::share_once(gateway, router, peer, false).await;
+            match part_loop::share_once(gateway, router, peer, false).await {
+                ReportResult::Counted => (),
+                ReportResult::NotLeader(leader) => {
+                    self.voters.leader_hint = leader.filter(|leader| *leader != address);
+                    return false;
+                }
+                ReportResult::Failed => {
+                    self.voters.mark_failed(address);
+                    return false;
+                }
+            }
         }
         // Turns at cold servers, which come with the limits, are laid out by the leader's time.
         if peer.version >= ProtocolVersion::COLD_SERVERS {
@@ -146,6 +159,7 @@
         if gives_parts {
             connection_loop::share_once(gateway, router, peer).await;
         }
+        true
     }
 
     /// Renews the lease and reads on in the leader's log of changes.
--- a/src/gateway/part_loop.rs
+++ b/src/gateway/part_loop.rs
@@ -5,6 +5,7 @@
 use super::part_watch::PartNews;
 use crate::control::RouterId;
 use crate::peer::{Dialed, ProtocolVersion, SuspectReport, SuspectResponse};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tarpc::client::RpcError;
@@ -13,6 +14,18 @@
 
 /// Time limit for a response, which the leader may delay for a second.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// What became of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportResult {
+    /// The leader has counted it, or there is more to report.
+    Counted,
+    /// It went to a voter that does not lead, which may know the leader's address.
+    NotLeader(Option<SocketAddr>),
+    /// No response.
+    Failed,
+}
+
 /// Reports and asks in an endless loop.
 pub async fn share_parts(
     gateway: Arc<Gateway>,
@@ -20,13 +33,18 @@
     mut connection: watch::Receiver<LeaderConnection>,
 ) {
     while let Some(dialed) = await_leader(&mut connection, ProtocolVersion::DEADLY_PARTS).await {
-        pause(share_once(&gateway, &router, &dialed, true).await).await;
+        let result = share_once(&gateway, &router, &dialed, true).await;
+        pause(result == ReportResult::Counted).await;
     }
 }
 
-/// Sends one report. Returns whether the leader has counted it. With `wait`, and nothing to report,
-/// the leader answers when it has news.
-pub async fn share_once(gateway: &Gateway, router: &RouterId, dialed: &Dialed, wait: bool) -> bool {
+/// Sends one report. With `wait`, and nothing to report, the leader answers when it has news.
+pub async fn share_once(
+    gateway: &Gateway,
+    router: &RouterId,
+    dialed: &Dialed,
+    wait: bool,
+) -> ReportResult {
     let PartNews { version, watched, ended, sound, sound_runs } = gateway.parts.take_news();
     let wait = wait && ended.is_empty() && sound.is_empty();
     let last = ended.iter().map(|(number, _)| *number).max().unwrap_or(0);
@@ -34,7 +52,7 @@
     let report = SuspectReport { router, version, watched, ended, sound, sound_runs, wait };
     let response = tokio::select! {
         response = send(dialed, report) => response,
-        () = gateway.parts.news.notified(), if wait => return true,
+        () = gateway.parts.news.notified(), if wait => return ReportResult::Counted,
     };
     match response {
         Ok(SuspectResponse::Known { blocked, watched }) => {
@@ -43,16 +61,16 @@
                 metrics::gauge!("samphireshift_blocked_parts").set(count as f64);
                 log::info!("{count} parts of prompts and requests are blocked");
             }
-            true
+            ReportResult::Counted
         }
-        Ok(SuspectResponse::NotLeader { .. }) => {
+        Ok(SuspectResponse::NotLeader { address }) => {
             gateway.parts.report_anew();
-            false
+            ReportResult::NotLeader(address)
         }
         Err(error) => {
             log::info!("report on parts of prompts and requests failed: {error}");
             gateway.parts.report_anew();
-            false
+            ReportResult::Failed
         }
     }
 }
