Count a server that closes under a call as ended, also where it may be full

Traced from the routers' logs: of three calls that a server broke off at once, two counted as its end. With more connections than the server is known to take, a loss of the third counted as turned down for want of room, though the connection was closed, not reset: a server that closes has read the call. Change: a written call was one too many only where its connection was reset.

--- a/src/gateway/connection_room.rs
+++ b/src/gateway/connection_room.rs
@@ -295,7 +295,8 @@
         room: &ServerRoom,
     ) -> bool {
         let may_be_full = room.may_be_full();
-        (may_be_full || (connection.may_be_extra() && connection.is_reset()))
+        connection.is_reset()
+            && (may_be_full || connection.may_be_extra())
             && self.is_turned_down(server, connection).await
             && (may_be_full || room.has_live())
     }
