Let the overload gate decide on the fleet's sums, not wired yet

Change: plain messages (PressureReport, PressureNews), the leader's sum of them (PressureSums), and a gate that mixes the sum with its own numbers by its age (PressureView). Reports hold rates, only ratios decide, and nothing is given out, so lost reports, a new leader and two leaders do no harm. The gate's set point is 0.3 of the longest wait instead of 0.4. The refusal's types move to overloaded.rs unchanged.

The play: a call whose caller has left, or that a server does not take, is taken off its router, which was forgotten; routers that restart, a lost leader, a new one and two; a scheduler that knows only means. Each test runs with the gate alone, as before, and with the sums; bounds are as they were.

Not measured: bytes and processor.

--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -60,16 +60,16 @@
         if goes_on || !self.gateway.settings.admission {
             return Ok(());
         }
-        let load = match selected.server.load().is_open() {
-            true => None,
-            false => self.gateway.pool_load(&self.pool),
-        };
+        let is_open = selected.server.load().is_open();
+        // No router tells the leader yet, so a free place decides.
+        let load = if is_open { None } else { self.gateway.pool_load(&self.pool) };
         let now = Instant::now();
         let left = self.deadline.saturating_duration_since(now);
         let offered = OfferedCall {
             route: &self.route.name,
             organisation: self.organisation.as_ref(),
             rank: self.rank,
+            is_open,
             by_rank: self.priority.is_some(),
             target: (self.started + self.route.latency_target).saturating_duration_since(now),
             left,
--- a/src/policy/organisation_use.rs
+++ b/src/policy/organisation_use.rs
@@ -1,22 +1,13 @@
-use super::DecayingSum;
+use super::organisation_rate::{NOW_SPAN, excess_parts};
+use super::{DecayingSum, OrganisationRate};
 use crate::name::OrganisationName;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Over how long an organisation's present use is measured.
-const NOW_SPAN: Duration = Duration::from_secs(2);
 /// Over how long its usual use is measured.
 const USUAL_SPAN: Duration = Duration::from_secs(60);
-/// How much more than all together an organisation's use may grow before it pays for it itself.
-const GROWTH_SLACK: f64 = 1.3;
-/// Standard deviations of a random count that do not count as growth.
-const NOISE_DEVIATIONS: f64 = 2.0;
-/// The least usual use, as a part of the mean of all organisations: a rare caller is not a burst.
-const MIN_USUAL: f64 = 0.25;
 /// Organisations with fewer calls a second over time are forgotten.
 const MIN_RATE: f64 = 0.001;
-/// Iterations of the fixed point for the common growth.
-const STEPS: usize = 8;
 /// How often the shares are found anew.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// The most organisations that are told apart; the use of others counts as common.
@@ -96,30 +87,26 @@
         self.uses.get(organisation).map_or(0.0, |entry| entry.excess)
     }
 
+    /// The organisations that use most at present, at most `most` of them.
+    pub fn largest(&self, now: Duration, most: usize) -> Vec<OrganisationRate> {
+        let rate = |(name, entry): (&OrganisationName, &Use)| OrganisationRate {
+            name: name.clone(),
+            now: entry.now.rate(now) as f32,
+            usual: entry.usual.rate(self.calm) as f32,
+        };
+        let mut rates: Vec<OrganisationRate> = self.uses.iter().map(rate).collect();
+        rates.sort_by(|a, b| b.now.max(b.usual).total_cmp(&a.now.max(a.usual)));
+        rates.truncate(most);
+        rates
+    }
+
     fn update(&mut self, now: Duration) {
         let calm = self.calm;
         self.uses.retain(|_, entry| entry.usual.rate(calm).max(entry.now.rate(now)) > MIN_RATE);
-        let span = NOW_SPAN.as_secs_f64();
-        let mean = self.uses.values().map(|entry| entry.usual.rate(calm)).sum::<f64>()
-            / self.uses.len().max(1) as f64;
-        let rates: Vec<(f64, f64)> = self
-            .uses
-            .values()
-            .map(|entry| (entry.now.rate(now), entry.usual.rate(calm).max(MIN_USUAL * mean)))
-            .collect();
-        let usual: f64 = rates.iter().map(|rate| rate.1).sum();
-        let limit = |growth: f64, usual: f64| {
-            let calls = growth * usual * span;
-            (GROWTH_SLACK * calls + NOISE_DEVIATIONS * calls.sqrt() + 1.0) / span
-        };
-        let mut growth = rates.iter().map(|rate| rate.0).sum::<f64>() / usual;
-        for _ in 0..STEPS {
-            let within = rates.iter().map(|rate| rate.0.min(limit(growth, rate.1))).sum::<f64>();
-            growth = within / usual;
-        }
-        for (entry, (rate, usual)) in self.uses.values_mut().zip(rates) {
-            let limit = limit(growth, usual);
-            entry.excess = if rate > limit { 1.0 - limit / rate } else { 0.0 };
+        let rates = self.uses.values().map(|entry| (entry.now.rate(now), entry.usual.rate(calm)));
+        let parts = excess_parts(&rates.collect::<Vec<_>>());
+        for (entry, part) in self.uses.values_mut().zip(parts) {
+            entry.excess = part;
         }
     }
 }
--- a/src/policy/overload_gate.rs
+++ b/src/policy/overload_gate.rs
@@ -1,30 +1,40 @@
-use super::{DecayingSum, OrganisationUse, PoolLoad, ReturnSchedule, ServiceTimes};
+use super::pool_pressure::LAST_RANK;
+use super::pressure_view::PressureView;
+use super::work_rates::WorkRates;
+use super::{
+    OrganisationUse, Overloaded, PoolLoad, PoolPressure, PressureNews, PressureReport,
+    RefusalCause, ReturnSchedule, ServiceTimes,
+};
 use crate::name::OrganisationName;
-use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
-/// The ten ranks of callers, 0 the most urgent, and one for late or excess work.
-const RANKS: usize = 11;
-/// The rank of what gives way to all others.
-const LAST_RANK: usize = RANKS - 1;
-/// Over how long calls are counted by rank.
+/// Over how long a router counts calls by rank, for what it decides alone.
 const RANK_SPAN: Duration = Duration::from_secs(2);
 /// Nothing is refused while a smaller part of the places is taken.
 const MIN_TAKEN: f64 = 0.5;
-/// Over how long the drain rate is measured.
+/// Over how long a router measures the drain rate, for what it decides alone.
 const DRAIN_SPAN: Duration = Duration::from_secs(4);
+/// Over how long both are measured for the fleet's sum, which has many calls.
+const REPORT_RANK_SPAN: Duration = Duration::from_millis(250);
+const REPORT_DRAIN_SPAN: Duration = Duration::from_secs(1);
+/// The fleet's sum counts 1/e after this time, and the router's own part the more.
+const NEWS_SPAN: Duration = Duration::from_secs(1);
+/// The same of what organisations use, of which a router sees less and which changes more slowly.
+const EXCESS_SPAN: Duration = Duration::from_secs(5);
+/// A sum that is older tells nothing.
+const MAX_NEWS_AGE: Duration = Duration::from_secs(5);
+/// The most organisations in a report.
+const MAX_REPORTED: usize = 16;
+/// How long after a call found the pool full the organisations are reported.
+const FULL_SPAN: Duration = Duration::from_secs(2);
 /// The queue's set point, as a fraction of the longest wait that is in time: slots stay busy.
-const AIM: f64 = 0.4;
-/// Proportional gain: relative change of the admitted rate per relative error of the queue.
-const GAIN: f64 = 0.5;
-/// The largest fraction of calls refused; the rest keeps the measurements going.
-const MAX_REFUSED: f64 = 0.95;
-/// Least chance of any call to be sent, relative to the mean, so that no rank starves.
-const FLOOR: f64 = 0.3;
+const AIM: f64 = 0.3;
 /// Fraction of an expected time that decides whether a call is late: estimates may be too long.
 const CERTAIN: f64 = 0.75;
 /// With as many own calls in flight, these and the reports count alike.
 const MANY_OWN_CALLS: f64 = 2.0;
+/// With as many own answers a second, a router's own numbers and the fleet's count alike.
+const MANY_ANSWERS: f64 = 30.0;
 /// The shortest time after which a refused caller is asked to return, in seconds.
 const MIN_RETURN: f64 = 0.1;
 
@@ -37,6 +47,8 @@
     pub organisation: Option<&'a OrganisationName>,
     /// How urgent it is, 0 (first) to 9.
     pub rank: u8,
+    /// Whether its server has a free place, as far as this router knows.
+    pub is_open: bool,
     /// Whether the servers take waiting calls by rank, not by arrival.
     pub by_rank: bool,
     /// When its first event should come, from now.
@@ -45,70 +57,22 @@
     pub left: Duration,
 }
 
-/// Why a call is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RefusalCause {
-    /// Its answer would not be whole by its deadline.
-    Deadline,
-    /// Its answer would come late, and others can be in time.
-    Late,
-    /// Its organisation uses more than its share.
-    Share,
-    /// More urgent calls, or others like it, take all the room.
-    Rank,
-}
-
-impl RefusalCause {
-    /// The name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Deadline => "deadline",
-            Self::Late => "late",
-            Self::Share => "share",
-            Self::Rank => "rank",
-        }
-    }
-}
-
-/// A refusal with its numbers.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Overloaded {
-    /// Why the call is refused.
-    pub cause: RefusalCause,
-    /// When the caller may come back.
-    pub wait: Duration,
-    /// How long the call would wait for a place at a server.
-    pub expected: Duration,
-    /// The part of the pool's calls that is to be refused now, from 0 to 1.
-    pub refused: f64,
-}
-
-impl Display for Overloaded {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "cause {}, {} ms until a place is free, {:.2} of the calls refused, back in {} ms",
-            self.cause.name(),
-            self.expected.as_millis(),
-            self.refused,
-            self.wait.as_millis()
-        )
-    }
-}
-
 /// Which calls go to a pool that has too little room for all. The part that is refused grows with the
 /// queue at the servers, so that those that are sent can be in time; the least urgent are refused
-/// first, and before them what an organisation uses beyond its share.
+/// first, and before them what an organisation uses beyond its share. It is decided by the sums of
+/// all routers where there are new ones, and by what the router sees itself.
 #[derive(Debug, Clone)]
 pub struct OverloadGate {
     times: ServiceTimes,
     uses: OrganisationUse,
-    /// Work offered by rank, in seconds of a slot.
-    ranks: [DecayingSum; RANKS],
-    /// Work of the answers that have come, in the same unit.
-    drained: DecayingSum,
-    /// Answers that have come.
-    answers: DecayingSum,
+    /// What the router goes by alone.
+    own: WorkRates,
+    /// What it reports.
+    recent: WorkRates,
+    /// The newest sums of all routers, and when they were true.
+    news: Option<(Duration, PressureNews)>,
+    /// When a call last found the pool full.
+    full_at: Option<Duration>,
     returns: ReturnSchedule,
 }
 
@@ -118,9 +82,10 @@
         Self {
             times: ServiceTimes::default(),
             uses: OrganisationUse::default(),
-            ranks: [DecayingSum::new(now, RANK_SPAN); RANKS],
-            drained: DecayingSum::new(now, DRAIN_SPAN),
-            answers: DecayingSum::new(now, DRAIN_SPAN),
+            own: WorkRates::new(now, RANK_SPAN, DRAIN_SPAN),
+            recent: WorkRates::new(now, REPORT_RANK_SPAN, REPORT_DRAIN_SPAN),
+            news: None,
+            full_at: None,
             returns: ReturnSchedule::default(),
         }
     }
@@ -135,9 +100,9 @@
     /// use samphireshift::policy::{OfferedCall, OverloadGate, PoolLoad};
     /// use std::time::Duration;
     /// let second = Duration::from_secs(1);
-    /// let (route, organisation) = ("r", None);
+    /// let (route, organisation, is_open) = ("r", None, false);
     /// let (target, left, by_rank) = (second, second, false);
-    /// let call = OfferedCall { route, organisation, rank: 0, by_rank, target, left };
+    /// let call = OfferedCall { route, organisation, rank: 0, is_open, by_rank, target, left };
     /// let mut gate = OverloadGate::new(Duration::ZERO);
     /// let full = Some(PoolLoad { turns: 5.0, taken: 1.0, slots: 4.0, own_calls: 0.0 });
     /// // How long answers take is not known yet.
@@ -155,47 +120,44 @@
         routers: u32,
     ) -> Result<(), Overloaded> {
         self.times.offer(now, call.route, call.target);
-        let load = load.filter(|load| load.turns > 0.0 && load.taken >= MIN_TAKEN);
+        let work = self.times.whole(call.route);
+        let view = load.map(|load| (load, self.view(now, &load, call.is_open, routers)));
+        let view = view.filter(|(_, view)| view.wait > 0.0);
         let excess = call.organisation.map_or(0.0, |organisation| {
-            self.uses.add(now, organisation, load.is_none());
-            self.uses.excess(now, organisation)
+            self.uses.add(now, organisation, view.is_none());
+            self.excess(now, organisation)
         });
-        let Some(load) = load else {
+        let Some((load, view)) = view else {
             self.count(now, call, excess);
+            self.recent.add_sent(now, work);
             return Ok(());
         };
-        let expected = self.expected_wait(now, &load);
-        if expected <= 0.0 {
-            self.count(now, call, excess);
-            return Ok(());
-        }
-        // Proportional control: admit what drains, more or less by how far the queue is off its aim.
+        self.full_at = Some(now);
         let aim = AIM * self.times.longest_wait(now);
-        let offered: f64 = self.ranks.iter().map(|rank| rank.rate(now)).sum();
-        let room = self.drained.rate(now) * (1.0 + GAIN * (aim - expected) / aim);
-        let refused = (1.0 - room / offered.max(f64::MIN_POSITIVE)).clamp(0.0, MAX_REFUSED);
+        let refused = view.refused(aim);
         // Servers that order by rank serve only part of the queue before this call.
-        let own_wait = expected * self.part_ahead(now, call);
+        let own_wait = view.wait * view.part_ahead(call);
         let is_late = own_wait * CERTAIN + self.times.first(call.route) * CERTAIN
             > call.target.min(call.left).as_secs_f64();
         let excess = if is_late { 1.0 } else { excess };
         self.count(now, call, excess);
-        let whole = (own_wait + self.times.whole(call.route)) * CERTAIN;
-        let is_dead = whole > call.left.as_secs_f64() && expected > 0.0;
-        let chance = self.chance(now, call.rank, excess, refused);
+        let is_dead = (own_wait + work) * CERTAIN > call.left.as_secs_f64();
+        let chance = view.chance(call.rank, excess, refused);
         let cause = match () {
             () if is_dead && refused > 0.0 => RefusalCause::Deadline,
-            () if point < chance => return Ok(()),
+            () if point < chance => {
+                self.recent.add_sent(now, work);
+                return Ok(());
+            }
             () if is_late => RefusalCause::Late,
             () if excess > 0.0 => RefusalCause::Share,
             () => RefusalCause::Rank,
         };
         let rate = load.slots / self.times.place() / f64::from(routers.max(1));
-        let least = (expected - aim).max(MIN_RETURN);
-        let least = Duration::try_from_secs_f64(least).unwrap_or(Duration::MAX);
+        let seconds = |time: f64| Duration::try_from_secs_f64(time).unwrap_or(Duration::MAX);
+        let least = seconds((view.wait - aim).max(MIN_RETURN));
         let wait = self.returns.promise(now, call.rank, least, rate, call.left);
-        let expected = Duration::try_from_secs_f64(expected).unwrap_or(Duration::MAX);
-        Err(Overloaded { cause, wait, expected, refused })
+        Err(Overloaded { cause, wait, expected: seconds(view.wait), refused })
     }
 
     /// Records the time to an answer's first event; `turns` were in line for each place at its server.
@@ -206,53 +168,87 @@
     /// Records the time to the end of an answer; `turns` were in line for each place at its server.
     pub fn record_whole(&mut self, now: Duration, route: &str, time: Duration, turns: f64) {
         self.times.record_whole(route, time, turns);
-        self.drained.add(now, self.times.whole(route));
-        self.answers.add(now, 1.0);
+        let work = self.times.whole(route);
+        self.own.add_answer(now, work);
+        self.recent.add_answer(now, work);
+    }
+
+    /// What the leader is told, while `in_flight` calls are at the servers.
+    pub fn report(&self, now: Duration, in_flight: f64) -> PressureReport {
+        let is_full = self.full_at.is_some_and(|at| now < at + FULL_SPAN);
+        let most = if is_full { MAX_REPORTED } else { 0 };
+        let organisations = self.uses.largest(now, most);
+        PressureReport { pressure: self.recent.pressure(now, in_flight), organisations }
+    }
+
+    /// Takes in what the leader has answered to the report of `asked_at`, unless a later one was answered
+    /// before.
+    pub fn hear(&mut self, asked_at: Duration, news: PressureNews) {
+        let at = asked_at.saturating_sub(Duration::from_millis(news.age_ms.into()));
+        let is_newer = self.news.as_ref().is_none_or(|(known, _)| at > *known);
+        if is_newer && news.routers > 0 && news.pressure.is_valid() {
+            self.news = Some((at, news));
+        }
+    }
+
+    /// The fleet's sums, unless they are too old, and their age.
+    fn current_news(&self, now: Duration) -> Option<(&PressureNews, Duration)> {
+        let (at, news) = self.news.as_ref()?;
+        let age = now.saturating_sub(*at);
+        (age < MAX_NEWS_AGE).then_some((news, age))
+    }
+
+    fn view(&self, now: Duration, load: &PoolLoad, is_open: bool, routers: u32) -> PressureView {
+        let own = self.own.pressure(now, load.own_calls);
+        let is_free = is_open || load.turns <= 0.0 || load.taken < MIN_TAKEN;
+        let own_wait = if is_free { 0.0 } else { self.expected_wait(load, &own) };
+        let Some((news, age)) = self.current_news(now) else {
+            return PressureView { pressure: own, wait: own_wait, age: 0.0 };
+        };
+        // A router with many answers knows enough itself, and knows it earlier.
+        let is_few = MANY_ANSWERS / (MANY_ANSWERS + f64::from(own.answers));
+        let weight = fading(age, NEWS_SPAN) * is_few;
+        let age = age.as_secs_f64();
+        let mean = news.pressure.scaled(1.0 / news.routers as f32);
+        let fleet_wait =
+            PressureView::fleet_wait(&mean, f64::from(routers.max(news.routers)), load.slots, age);
+        let wait = own_wait + (fleet_wait - own_wait) * weight;
+        PressureView { pressure: own.mixed_with(&mean, weight as f32), wait, age: age * weight }
+    }
+
+    fn excess(&mut self, now: Duration, organisation: &OrganisationName) -> f64 {
+        let own = self.uses.excess(now, organisation);
+        let Some((news, age)) = self.current_news(now) else { return own };
+        let told = news.excess.iter().find(|(name, _)| name == organisation);
+        let told = told.map_or(0.0, |(_, excess)| f64::from(*excess));
+        own + (told - own) * fading(age, EXCESS_SPAN)
     }
 
     /// How long a call would wait for a place, in seconds: by what the servers report, and by how long
     /// this router's own calls take to come back at the present rate (Little's law). Reports are of
     /// the past; the own calls are known at once, but tell little where they are few.
-    fn expected_wait(&self, now: Duration, load: &PoolLoad) -> f64 {
+    fn expected_wait(&self, load: &PoolLoad, own: &PoolPressure) -> f64 {
         let place = self.times.place();
         let reported = load.turns * place;
-        let own_rate = self.answers.rate(now);
-        if own_rate <= 0.0 {
+        if own.answers <= 0.0 {
             return reported;
         }
-        let own = (load.own_calls / own_rate - place).max(0.0);
+        let own = (load.own_calls / f64::from(own.answers) - place).max(0.0);
         let weight = load.own_calls / (load.own_calls + MANY_OWN_CALLS);
         reported + (own - reported) * weight
     }
 
-    /// The part of the calls in line that are served before a new one.
-    fn part_ahead(&self, now: Duration, call: &OfferedCall<'_>) -> f64 {
-        if !call.by_rank {
-            return 1.0;
-        }
-        let rates = self.ranks.map(|rank| rank.rate(now));
-        let ahead: f64 = rates[..=usize::from(call.rank).min(LAST_RANK - 1)].iter().sum();
-        ahead / rates.iter().sum::<f64>().max(f64::MIN_POSITIVE)
-    }
-
     fn count(&mut self, now: Duration, call: &OfferedCall<'_>, excess: f64) {
         let rank = usize::from(call.rank).min(LAST_RANK - 1);
         let work = self.times.whole(call.route);
-        self.ranks[rank].add(now, work * (1.0 - excess));
-        self.ranks[LAST_RANK].add(now, work * excess);
+        for rates in [&mut self.own, &mut self.recent] {
+            rates.add_offered(now, rank, work * (1.0 - excess));
+            rates.add_offered(now, LAST_RANK, work * excess);
+        }
     }
+}
 
-    /// The chance of a call to be sent: room is given to the ranks in their order.
-    fn chance(&self, now: Duration, rank: u8, excess: f64, refused: f64) -> f64 {
-        let rates = self.ranks.map(|rank| rank.rate(now));
-        let all: f64 = rates.iter().sum();
-        let room = all * (1.0 - refused);
-        let of_rank = |rank: usize| {
-            let before: f64 = rates[..rank].iter().sum();
-            ((room - before) / rates[rank].max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
-        };
-        let own = of_rank(usize::from(rank).min(LAST_RANK - 1));
-        let chance = (1.0 - excess) * own + excess * of_rank(LAST_RANK);
-        chance.max(FLOOR * (1.0 - refused))
-    }
+/// What is left of a weight after a time, from 1 to 0.
+fn fading(age: Duration, span: Duration) -> f64 {
+    (-age.as_secs_f64() / span.as_secs_f64()).exp()
 }
