Decide as before where there is no news of the fleet

Change: without news all of it is as on; with news the set point stays 0.3 and errors at most 1.5. Rates are f64.

--- a/src/policy/overload_gate.rs
+++ b/src/policy/overload_gate.rs
@@ -27,8 +27,6 @@
 const MAX_REPORTED: usize = 16;
 /// How long after a call found the pool full the organisations are reported.
 const FULL_SPAN: Duration = Duration::from_secs(2);
-/// The queue's set point, as a fraction of the longest wait that is in time: slots stay busy.
-const AIM: f64 = 0.3;
 /// Fraction of an expected time that decides whether a call is late: estimates may be too long.
 const CERTAIN: f64 = 0.75;
 /// With as many own calls in flight, these and the reports count alike.
@@ -122,18 +120,22 @@
         self.times.offer(now, call.route, call.target);
         let work = self.times.whole(call.route);
         let view = load.map(|load| (load, self.view(now, &load, call.is_open, routers)));
+        let is_calm = view.is_none_or(|(load, view)| match view.age {
+            Some(_) => view.wait <= 0.0,
+            None => is_free(&load, call.is_open),
+        });
         let view = view.filter(|(_, view)| view.wait > 0.0);
         let excess = call.organisation.map_or(0.0, |organisation| {
-            self.uses.add(now, organisation, view.is_none());
+            self.uses.add(now, organisation, is_calm);
             self.excess(now, organisation)
         });
-        let Some((load, view)) = view else {
+        let Some((load, mut view)) = view else {
             self.count(now, call, excess);
             self.recent.add_sent(now, work);
             return Ok(());
         };
         self.full_at = Some(now);
-        let aim = AIM * self.times.longest_wait(now);
+        let aim = view.aim(self.times.longest_wait(now));
         let refused = view.refused(aim);
         // Servers that order by rank serve only part of the queue before this call.
         let own_wait = view.wait * view.part_ahead(call);
@@ -141,6 +143,10 @@
             > call.target.min(call.left).as_secs_f64();
         let excess = if is_late { 1.0 } else { excess };
         self.count(now, call, excess);
+        if view.age.is_none() {
+            // Of the few calls that a router sees, this one is a part.
+            view.pressure = self.own.pressure(now, load.own_calls);
+        }
         let is_dead = (own_wait + work) * CERTAIN > call.left.as_secs_f64();
         let chance = view.chance(call.rank, excess, refused);
         let cause = match () {
@@ -200,20 +206,19 @@
 
     fn view(&self, now: Duration, load: &PoolLoad, is_open: bool, routers: u32) -> PressureView {
         let own = self.own.pressure(now, load.own_calls);
-        let is_free = is_open || load.turns <= 0.0 || load.taken < MIN_TAKEN;
-        let own_wait = if is_free { 0.0 } else { self.expected_wait(load, &own) };
+        let own_wait = if is_free(load, is_open) { 0.0 } else { self.expected_wait(load, &own) };
         let Some((news, age)) = self.current_news(now) else {
-            return PressureView { pressure: own, wait: own_wait, age: 0.0 };
+            return PressureView { pressure: own, wait: own_wait, age: None };
         };
         // A router with many answers knows enough itself, and knows it earlier.
-        let is_few = MANY_ANSWERS / (MANY_ANSWERS + f64::from(own.answers));
+        let is_few = MANY_ANSWERS / (MANY_ANSWERS + own.answers);
         let weight = fading(age, NEWS_SPAN) * is_few;
         let age = age.as_secs_f64();
-        let mean = news.pressure.scaled(1.0 / news.routers as f32);
+        let mean = news.pressure.scaled(1.0 / f64::from(news.routers));
         let fleet_wait =
             PressureView::fleet_wait(&mean, f64::from(routers.max(news.routers)), load.slots, age);
         let wait = own_wait + (fleet_wait - own_wait) * weight;
-        PressureView { pressure: own.mixed_with(&mean, weight as f32), wait, age: age * weight }
+        PressureView { pressure: own.mixed_with(&mean, weight), wait, age: Some(age * weight) }
     }
 
     fn excess(&mut self, now: Duration, organisation: &OrganisationName) -> f64 {
@@ -233,7 +238,7 @@
         if own.answers <= 0.0 {
             return reported;
         }
-        let own = (load.own_calls / f64::from(own.answers) - place).max(0.0);
+        let own = (load.own_calls / own.answers - place).max(0.0);
         let weight = load.own_calls / (load.own_calls + MANY_OWN_CALLS);
         reported + (own - reported) * weight
     }
@@ -248,6 +253,11 @@
     }
 }
 
+/// Whether a call finds a place, as far as this router knows.
+fn is_free(load: &PoolLoad, is_open: bool) -> bool {
+    is_open || load.turns <= 0.0 || load.taken < MIN_TAKEN
+}
+
 /// What is left of a weight after a time, from 1 to 0.
 fn fading(age: Duration, span: Duration) -> f64 {
     (-age.as_secs_f64() / span.as_secs_f64()).exp()
--- a/src/policy/pool_pressure.rs
+++ b/src/policy/pool_pressure.rs
@@ -10,15 +10,15 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct PoolPressure {
     /// Calls that run or wait at the servers.
-    pub in_flight: f32,
+    pub in_flight: f64,
     /// Work offered by rank, in seconds of a place a second.
-    pub offered: [f32; RANKS],
+    pub offered: [f64; RANKS],
     /// Work that was sent on, in the same unit.
-    pub sent: f32,
+    pub sent: f64,
     /// Work of the answers that have come, in the same unit.
-    pub drained: f32,
+    pub drained: f64,
     /// Answers that have come, a second.
-    pub answers: f32,
+    pub answers: f64,
 }
 
 impl PoolPressure {
@@ -34,30 +34,30 @@
     /// let (none, some) = (PoolPressure::default(), PoolPressure { sent: 4.0, ..Default::default() });
     /// assert_eq!(none.mixed_with(&some, 0.25).sent, 1.0);
     /// ```
-    pub fn mixed_with(&self, other: &Self, weight: f32) -> Self {
+    pub fn mixed_with(&self, other: &Self, weight: f64) -> Self {
         self.combine(other, |own, other| own + (other - own) * weight)
     }
 
     /// A part of it.
-    pub fn scaled(&self, factor: f32) -> Self {
+    pub fn scaled(&self, factor: f64) -> Self {
         self.combine(self, |own, _| own * factor)
     }
 
     /// All offered work, in seconds of a place a second.
     pub fn all_offered(&self) -> f64 {
-        self.offered.iter().copied().map(f64::from).sum()
+        self.offered.iter().sum()
     }
 
     /// Whether no part is negative, infinite or not a number, as none of an honest report is.
     pub fn is_valid(&self) -> bool {
-        let is_valid = |value: f32| value.is_finite() && value >= 0.0;
+        let is_valid = |value: f64| value.is_finite() && value >= 0.0;
         [self.in_flight, self.sent, self.drained, self.answers].into_iter().all(is_valid)
             && self.offered.into_iter().all(is_valid)
     }
 
     fn combine<F>(&self, other: &Self, join: F) -> Self
     where
-        F: Fn(f32, f32) -> f32,
+        F: Fn(f64, f64) -> f64,
     {
         let mut offered = self.offered;
         for (own, other) in offered.iter_mut().zip(other.offered) {
--- a/src/policy/pressure_view.rs
+++ b/src/policy/pressure_view.rs
@@ -5,7 +5,12 @@
 const GAIN: f64 = 0.5;
 /// The most gain for each length of the aim that the numbers are old: above about 1.5, the queue swings.
 const LAG_GAIN: f64 = 0.75;
-/// The least relative error that counts: a queue that grew before it was known is not answered by sending
+/// The queue's set point without news of the fleet, as a fraction of the longest wait that is in time: slots
+/// stay busy.
+const OWN_AIM: f64 = 0.4;
+/// The same with news: the queue grows until they come.
+const FLEET_AIM: f64 = 0.3;
+/// The least relative error by news that counts: a queue that grew before it was known is not answered by sending
 /// almost nothing, after which it would run empty.
 const MIN_ERROR: f64 = -1.5;
 /// The largest fraction of calls refused; the rest keeps the measurements going.
@@ -19,8 +24,8 @@
     pub pressure: PoolPressure,
     /// How long a call would wait for a place, in seconds.
     pub wait: f64,
-    /// How old the fleet's sums are, as far as they count, in seconds.
-    pub age: f64,
+    /// How old the fleet's sums are, as far as they count, in seconds; none without news of the fleet.
+    pub age: Option<f64>,
 }
 
 impl PressureView {
@@ -30,41 +35,45 @@
         if mean.answers <= 0.0 || places <= 0.0 {
             return 0.0;
         }
-        let answers = f64::from(mean.answers) * routers;
+        let answers = mean.answers * routers;
         // Work is known too high where answers have waited, and answers are few while places were free.
-        let place = f64::from(mean.drained / mean.answers).min(places / answers);
-        let queue = f64::from(mean.in_flight) * routers - places;
-        let growth = answers * f64::from(mean.sent / mean.drained.max(f32::MIN_POSITIVE) - 1.0);
+        let place = (mean.drained / mean.answers).min(places / answers);
+        let queue = mean.in_flight * routers - places;
+        let growth = answers * (mean.sent / mean.drained.max(f64::MIN_POSITIVE) - 1.0);
         ((queue + growth * age) * place / places).max(0.0)
     }
 
+    /// The queue's set point, of the `longest` wait that is in time, in seconds.
+    pub fn aim(&self, longest: f64) -> f64 {
+        longest * if self.age.is_some() { FLEET_AIM } else { OWN_AIM }
+    }
+
     /// The part of the calls that is to be refused. Proportional control: admit what drains, more or less
     /// by how far the queue is off its `aim`, and the less so the older the numbers are.
     pub fn refused(&self, aim: f64) -> f64 {
         let offered = self.pressure.all_offered().max(f64::MIN_POSITIVE);
-        let gain = GAIN.min(LAG_GAIN * aim / self.age);
-        let error = ((aim - self.wait) / aim).max(MIN_ERROR);
-        let room = f64::from(self.pressure.drained) * (1.0 + gain * error);
+        let error = (aim - self.wait) / aim;
+        let change = match self.age {
+            Some(age) => GAIN.min(LAG_GAIN * aim / age) * error.max(MIN_ERROR),
+            None => GAIN * error,
+        };
+        let room = self.pressure.drained * (1.0 + change);
         (1.0 - room / offered).clamp(0.0, MAX_REFUSED)
     }
 
-    fn rates(&self) -> [f64; RANKS] {
-        self.pressure.offered.map(f64::from)
-    }
-
     /// The part of the calls in line that are served before a new one.
     pub fn part_ahead(&self, call: &OfferedCall<'_>) -> f64 {
         if !call.by_rank {
             return 1.0;
         }
-        let rates = self.rates();
+        let rates: [f64; RANKS] = self.pressure.offered;
         let ahead: f64 = rates[..=usize::from(call.rank).min(LAST_RANK - 1)].iter().sum();
         ahead / rates.iter().sum::<f64>().max(f64::MIN_POSITIVE)
     }
 
     /// The chance of a call to be sent: room is given to the ranks in their order.
     pub fn chance(&self, rank: u8, excess: f64, refused: f64) -> f64 {
-        let rates = self.rates();
+        let rates: [f64; RANKS] = self.pressure.offered;
         let all: f64 = rates.iter().sum();
         let room = all * (1.0 - refused);
         let of_rank = |rank: usize| {
--- a/src/policy/work_rates.rs
+++ b/src/policy/work_rates.rs
@@ -39,11 +39,11 @@
     /// The rates at present, beside the calls that are in flight.
     pub fn pressure(&self, now: Duration, in_flight: f64) -> PoolPressure {
         PoolPressure {
-            in_flight: in_flight as f32,
-            offered: self.offered.map(|rank| rank.rate(now) as f32),
-            sent: self.sent.rate(now) as f32,
-            drained: self.drained.rate(now) as f32,
-            answers: self.answers.rate(now) as f32,
+            in_flight,
+            offered: self.offered.map(|rank| rank.rate(now)),
+            sent: self.sent.rate(now),
+            drained: self.drained.rate(now),
+            answers: self.answers.rate(now),
         }
     }
 }
--- a/tests/pressure_sums.rs
+++ b/tests/pressure_sums.rs
@@ -12,7 +12,7 @@
     RouterId { vm: VmName::new(format!("vm-{number}")), run: 1 }
 }
 
-fn report(answers: f32) -> PressureReport {
+fn report(answers: f64) -> PressureReport {
     let pressure = PoolPressure { answers, in_flight: 2.0, ..PoolPressure::default() };
     PressureReport { pressure, organisations: Vec::new() }
 }
@@ -32,7 +32,7 @@
 
 #[rstest]
 fn a_report_that_is_no_number_is_not_counted(
-    #[values(f32::NAN, f32::INFINITY, -1.0)] answers: f32,
+    #[values(f64::NAN, f64::INFINITY, -1.0)] answers: f64,
 ) {
     let mut sums = PressureSums::default();
     sums.report(INTERVAL, &router(1), report(5.0));
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -137,7 +137,7 @@
 }
 
 /// Routers that come and go, a lost leader and two leaders cost no more than the sums gain: the gate alone
-/// is the least that holds, but for 4 in 100, as plays with other delays of the news differ by 2 in 100.
+/// is the least that holds, but for 1 in 100.
 #[rstest]
 fn trouble_costs_no_more_than_the_sums_gain(
     #[values(3, 83, 191)] routers: usize,
@@ -148,5 +148,5 @@
     let day = Day { routers, trouble, lag_ms, ..overload(2.0) };
     let (_, alone, _) = compare(&day, Way::Gate);
     let (_, fleet, _) = compare(&day, Way::Fleet);
-    assert!(fleet >= alone - 0.04, "{fleet} with the sums, {alone} without");
+    assert!(fleet >= alone - 0.01, "{fleet} with the sums, {alone} without");
 }
