Check a configuration before it is sent: config check

Change: samphireshift config check FILE for tickets, settings and, by the adapter's program samphireshift-check-routes beside the tool, route tables. RouteTable::faults and ControlState::ticket_faults are what a voter and the control group refuse by, and now name the entry; texts and order are as before. The adapter reads a document in one place (ParsedConfig). Error has Findings (1) and CannotCheck (2). Nothing of a daemon's requests or answers changes. Result: before, there was no such command. The whole suite was not run.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -2,7 +2,7 @@
 use crate::backend::ConnectionPool;
 use crate::error::Error;
 use bytes::Bytes;
-use http::{Method, Request, header};
+use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -40,10 +40,22 @@
             let message = format!("no operator token; pass --token-file or set {TOKEN_VARIABLE}");
             return Err(Error::InvalidInput { message });
         }
+        Self::with_token(options.operator, token, options.json)
+    }
+
+    /// Creates a client for a daemon whose operator API needs no token.
+    ///
+    /// # Errors
+    /// Fails if the process cannot be set up for it.
+    pub fn without_token(address: SocketAddr) -> Result<Self, Error> {
+        Self::with_token(address, String::new(), true)
+    }
+
+    fn with_token(address: SocketAddr, token: String, json: bool) -> Result<Self, Error> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime =
             runtime.map_err(|cause| Error::InvalidInput { message: cause.to_string() })?;
-        Ok(Self { runtime, address: options.operator, token, json: options.json })
+        Ok(Self { runtime, address, token, json })
     }
 
     /// Whether results are printed as JSON instead of text.
@@ -59,6 +71,18 @@
         self.call(Method::GET, path, Bytes::new())
     }
 
+    /// Sends a GET request and returns the JSON document of the response; `None` if there is none
+    /// (status 404).
+    ///
+    /// # Errors
+    /// Fails if the daemon cannot be reached, does not respond in time or refuses the request.
+    pub fn get_if_found(&self, path: &str) -> Result<Option<Value>, Error> {
+        match self.ask(Method::GET, path, Bytes::new())? {
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            (status, value) => self.accept(status, value).map(Some),
+        }
+    }
+
     /// Sends a POST request with a JSON document and returns the document of the response.
     ///
     /// # Errors
@@ -76,24 +100,35 @@
     }
 
     fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Value, Error> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
-            .body(Full::new(body));
-        let request =
-            request.map_err(|cause| Error::InvalidInput { message: cause.to_string() })?;
+        let (status, value) = self.ask(method, path, body)?;
+        self.accept(status, value)
+    }
+
+    /// Sends a request; returns the status and the JSON document of the response.
+    fn ask(&self, method: Method, path: &str, body: Bytes) -> Result<(StatusCode, Value), Error> {
+        let mut request = Request::builder().method(method).uri(path);
+        if !self.token.is_empty() {
+            request = request.header(header::AUTHORIZATION, format!("Bearer {}", self.token));
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|cause| Error::InvalidInput { message: cause.to_string() })?;
         let exchange =
             async { tokio::time::timeout(RESPONSE_TIMEOUT, self.exchange(request)).await };
         let response = self.runtime.block_on(exchange);
         let (status, bytes) =
             response.unwrap_or_else(|_| Err(self.unreachable("no response in time")))?;
-        let value: Value = serde_json::from_slice(&bytes)
+        let value = serde_json::from_slice(&bytes)
             .map_err(|_| self.unreachable("the response is not JSON"))?;
+        Ok((status, value))
+    }
+
+    fn accept(&self, status: StatusCode, value: Value) -> Result<Value, Error> {
         if status.is_success() {
             return Ok(value);
         }
-        let message = value["error"]["message"].as_str().unwrap_or("refused").to_owned();
+        let error = &value["error"];
+        let message = error["message"].as_str().or(error.as_str()).unwrap_or("refused").to_owned();
         match status.as_u16() {
             401 | 400 | 413 => Err(Error::InvalidInput { message }),
             503 => Err(self.unreachable(&message)),
@@ -102,10 +137,7 @@
     }
 
     /// Sends one request over a new connection; returns the status and the whole body.
-    async fn exchange(
-        &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(http::StatusCode, Bytes), Error> {
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), Error> {
         let connections = ConnectionPool::new(CONNECT_TIMEOUT);
         let connection = connections.acquire(self.address, true).await;
         let mut connection = connection.map_err(|cause| self.unreachable(&cause.to_string()))?;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,8 @@
 mod bills;
 mod client;
 mod cluster;
+mod config;
+mod config_options;
 mod evacuations;
 mod events;
 mod health;
@@ -37,6 +39,7 @@
             }
             Ok(())
         }
+        Command::Config(args) => config::run(options, args),
         Command::HashKey(hash) => {
             let Ok(Value::String(text)) = serde_json::to_value(KeyHash::of(&hash.key)) else {
                 return Err(Error::InvalidInput { message: "the key cannot be hashed".to_owned() });
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -1,3 +1,4 @@
+use super::config_options::ConfigArgs;
 use argh::FromArgs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -25,6 +26,8 @@
 pub enum Command {
     /// Check a settings file.
     Check(CheckArgs),
+    /// Check a configuration before it is sent.
+    Config(ConfigArgs),
     /// Print the hash of an API key.
     HashKey(HashKeyArgs),
     /// Found a cluster.
--- a/src/control/route_table.rs
+++ b/src/control/route_table.rs
@@ -1,4 +1,4 @@
-use super::{CallerLimits, ConfiguredRoute, PoolSpec, RouteOrganisation};
+use super::{CallerLimits, ConfiguredRoute, PoolSpec, RouteOrganisation, TableEntry, TableFault};
 use crate::name::PoolName;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -29,52 +29,57 @@
     }
 
     /// Every reason why the table is not valid; empty if it is.
-    pub fn validation_errors(&self) -> Vec<String> {
-        let mut errors = Vec::new();
+    pub fn faults(&self) -> Vec<TableFault> {
+        let mut faults = Vec::new();
         let mut seen = BTreeSet::new();
-        for route in &self.routes {
+        for (at, route) in self.routes.iter().enumerate() {
+            let entry = TableEntry::Route(at);
             if !seen.insert((&route.host, &route.prefix)) {
-                errors.push(format!(
+                let text = format!(
                     "two routes have the same host and path prefix {}{}; remove one of them",
                     route.host, route.prefix
-                ));
+                );
+                faults.push(TableFault { entry, text });
             }
-            self.check_route(route, &mut errors);
+            let texts = self.route_faults(route).into_iter();
+            faults.extend(texts.map(|text| TableFault { entry, text }));
         }
-        self.check_keys(&mut errors);
-        errors
+        self.check_keys(&mut faults);
+        faults
     }
 
-    fn check_route(&self, route: &ConfiguredRoute, errors: &mut Vec<String>) {
-        let name = &route.name;
+    fn route_faults(&self, route: &ConfiguredRoute) -> Vec<String> {
+        let (name, mut faults) = (&route.name, Vec::new());
         if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-            errors.push(format!("route {name}: the path prefix must begin and end with a slash"));
+            faults.push(format!("route {name}: the path prefix must begin and end with a slash"));
         }
         if route.timeout.is_zero() {
-            errors.push(format!("route {name}: the timeout must be greater than 0"));
+            faults.push(format!("route {name}: the timeout must be greater than 0"));
         }
         if route.pools.iter().map(|share| u64::from(share.weight)).sum::<u64>() == 0 {
-            errors.push(format!(
+            faults.push(format!(
                 "route {name}: the pool weights add up to 0; set at least one above 0"
             ));
         }
         for share in route.pools.iter().filter(|share| self.pool(&share.pool).is_none()) {
-            errors.push(format!(
+            faults.push(format!(
                 "route {name}: pool '{}' does not exist; define it or correct its name",
                 share.pool
             ));
         }
+        faults
     }
 
-    fn check_keys(&self, errors: &mut Vec<String>) {
+    fn check_keys(&self, faults: &mut Vec<TableFault>) {
         let mut keys = BTreeSet::new();
-        for organisation in self.organisations.iter().flatten() {
+        for (at, organisation) in self.organisations.iter().flatten().enumerate() {
             let own: BTreeSet<_> = organisation.keys.iter().collect();
             if own.iter().any(|key| keys.contains(key)) {
-                errors.push(format!(
+                let text = format!(
                     "an API key of organisation {} also belongs to another organisation",
                     organisation.name
-                ));
+                );
+                faults.push(TableFault { entry: TableEntry::Organisation(at), text });
             }
             keys.extend(own);
         }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,8 +1,8 @@
 use super::ticket_history::TicketHistory;
 use super::{
     BlockedParts, Config, ControlCommand, ControlOutcome, ObjectName, PoolRollout, PoolVersions,
-    RegionRules, Rollout, RouteTable, StatsSummary, Suspect, Ticket, TicketAnswer, TicketRecord,
-    TicketRefusal, VersionState, validate,
+    RegionRules, Rollout, RouteTable, StatsSummary, Suspect, Ticket, TicketAnswer, TicketFault,
+    TicketRecord, TicketRefusal, VersionState, validate,
 };
 use crate::name::{DataCentre, PoolName, VersionKey, VersionName};
 use serde::{Deserialize, Serialize};
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Every reason why the ticket's contents are not valid here, whatever its number; empty if they are.
+    pub fn ticket_faults(&self, ticket: &Ticket) -> Vec<TicketFault> {
+        validate::ticket_faults(ticket, &self.config, &self.merge_ticket(ticket))
+    }
+
     fn apply_ticket(&mut self, ticket: Ticket) -> TicketAnswer {
         let next = match self.check_ticket(&ticket) {
             Ok(next) => next,
@@ -193,11 +198,12 @@
             }
         }
         let next = self.merge_ticket(ticket);
-        let reasons = validate::ticket_errors(ticket, &self.config, &next);
-        match reasons.is_empty() {
-            true => Ok(next),
-            false => Err(TicketAnswer::Refused(TicketRefusal::Invalid { reasons })),
+        let faults = validate::ticket_faults(ticket, &self.config, &next);
+        if faults.is_empty() {
+            return Ok(next);
         }
+        let reasons = faults.into_iter().map(|fault| fault.text).collect();
+        Err(TicketAnswer::Refused(TicketRefusal::Invalid { reasons }))
     }
 
     fn merge_ticket(&self, ticket: &Ticket) -> Config {
--- a/src/error.rs
+++ b/src/error.rs
@@ -46,6 +46,18 @@
         /// The reason that the daemon gave.
         message: String,
     },
+    /// The check of a configuration found something.
+    #[error("{message}")]
+    Findings {
+        /// The file, and how much was found.
+        message: String,
+    },
+    /// A configuration could not be checked, or not be compared with the version in force.
+    #[error("cannot check: {message}")]
+    CannotCheck {
+        /// The reason, and what to try.
+        message: String,
+    },
     /// An argument or input file of a command, or the response of a daemon, is invalid.
     #[error("{message}")]
     InvalidInput {
@@ -64,9 +76,12 @@
     /// Exit code of a program that ends with this error.
     pub fn exit_code(&self) -> Exit {
         match self {
-            Error::Settings(_) | Error::File { .. } | Error::InvalidInput { .. } => Exit::Usage,
+            Error::Settings(_)
+            | Error::File { .. }
+            | Error::InvalidInput { .. }
+            | Error::CannotCheck { .. } => Exit::Usage,
             Error::Bind { .. } | Error::Storage(_) | Error::Unreachable { .. } => Exit::Unavailable,
-            Error::Refused { .. } => Exit::Refused,
+            Error::Refused { .. } | Error::Findings { .. } => Exit::Refused,
             Error::NotInForce { .. } => Exit::NotInForce,
         }
     }
--- a/src/exit_codes.rs
+++ b/src/exit_codes.rs
@@ -7,9 +7,11 @@
 pub enum Exit {
     /// The command succeeded (0).
     Success,
-    /// The daemon understood the request and refused it, for example a conflicting ticket (1).
+    /// The daemon understood the request and refused it, for example a conflicting ticket; or a check
+    /// of a configuration found something (1).
     Refused,
-    /// The command line, the settings or an input file is invalid; nothing was done (2).
+    /// The command line, the settings or an input file is invalid, or a configuration could not
+    /// be checked; nothing was done (2).
     Usage,
     /// A daemon, port or data folder is unavailable, or no answer came in time (3).
     Unavailable,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! This library is shared by the daemon (`samphireshiftd`) and the command-line tool
 //! (`samphireshift`). Its folders are layers; each uses only those listed before it: `name`,
-//! `settings`, `event`, `storage`, `consensus`, `control`, `ledger`, `policy`, `group`,
+//! `settings`, `event`, `storage`, `consensus`, `control`, `check`, `ledger`, `policy`, `group`,
 //! `distribution`, `peer`, `backend` and `held`, `vms`, `route`, the HTTP servers `caller` and
 //! `operator`, and `gateway`, the router for configured routes.
 
 pub mod backend;
 pub mod caller;
+pub mod check;
 pub mod cli;
 pub mod connection_end;
 pub mod consensus;
--- a/src/settings/region_map.rs
+++ b/src/settings/region_map.rs
@@ -30,6 +30,11 @@
     pub fn of(&self, data_centre: &DataCentre) -> Option<&Region> {
         self.regions.get(data_centre)
     }
+
+    /// Whether a data centre is known to lie in a region.
+    pub fn has(&self, region: &Region) -> bool {
+        self.regions.values().any(|known| known == region)
+    }
 }
 
 impl SettingsReader {
