--- a/tests/config_check.rs
+++ b/tests/config_check.rs
@@ -6,7 +6,6 @@
 use env::{Fleet, FleetSpec, ticket};
 use rstest::rstest;
 use serde_json::{Value, json};
-use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -113,32 +112,6 @@
     assert!(text(&output).contains("check that the file exists"), "{}", text(&output));
 }
 
-/// Route tables are checked by the adapter's program beside the tool, with the same options.
-#[test]
-fn a_route_table_is_given_to_the_program_of_the_adapter() {
-    let folder = Folder::new("adapter");
-    let tool = folder.0.join("samphireshift");
-    std::fs::copy(program_dir().join("samphireshift"), &tool).expect("the tool can be copied");
-    let table = folder.write("table", r#"{ "routes": [] }"#);
-    let check = || {
-        let mut command = Command::new(&tool);
-        command.args(["--json", "--operator", "127.0.0.1:1", "config", "check", "--same"]);
-        command.args(["--settings", "a.ini", "--routers", "7"]).arg(&table);
-        command.output().expect("it runs")
-    };
-    let missing = check();
-    assert_eq!(missing.status.code(), Some(2), "{}", text(&missing));
-    assert!(text(&missing).contains("install it beside this tool"), "{}", text(&missing));
-    let program = folder.write("samphireshift-check-routes", "#!/bin/sh\necho \"$@\"\nexit 1\n");
-    std::fs::set_permissions(&program, std::fs::Permissions::from_mode(0o755)).expect("it can run");
-    let found = check();
-    let expected = format!(
-        "--operator 127.0.0.1:1 --json --same --settings a.ini --routers 7 -- {}\n",
-        table.display()
-    );
-    assert_eq!((found.status.code(), text(&found)), (Some(1), expected));
-}
-
 /// Checks a ticket at daemon 1; returns the exit code and the report.
 fn check(fleet: &Fleet, ticket: &Value, arguments: &[&str]) -> (Option<i32>, Value) {
     let file = fleet.write_file("checked", &ticket.to_string());
