Say so when a file is neither a ticket nor a route table

Cause: JSON that is cut, or has no routes, was called "not a ticket" with the format "ticket", also when it was meant as a route table. Change: JsonKind tells a ticket by 'number' and a route table by 'routes'; anything else can be read neither as a ticket nor as a route table, and has the format "unknown".

--- a/src/check/report.rs
+++ b/src/check/report.rs
@@ -18,6 +18,8 @@
     Settings,
     /// A document that an adapter reads a route table from.
     Routes,
+    /// JSON that is neither a ticket nor a route table.
+    Unknown,
 }
 
 /// The result of the check of one file. Its JSON keeps its shape: fields are added only.
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -1,6 +1,7 @@
 //! The command `config check`.
 
 use super::config_options::{ConfigArgs, ConfigCheckArgs, ConfigCommand};
+use super::json_kind::JsonKind;
 use super::{Client, Options};
 use crate::check::{
     Change, ConfigFormat, Difference, ListSpec, Report, TicketCheck, cannot_compare,
@@ -44,12 +45,15 @@
     }
     let file = path.display().to_string();
     let report = match text.trim_start().chars().next() {
-        Some('{') if is_route_document(&text) && args.file == Path::new(STDIN_PATH) => {
-            let message = "a route table is read from a file only; write it to one".to_owned();
-            return Err(Error::CannotCheck { message });
-        }
-        Some('{') if is_route_document(&text) => return Err(run_adapter(options, args)),
-        Some('{') => check_ticket(options, args, file, &text)?,
+        Some('{') => match JsonKind::of(&text) {
+            JsonKind::Ticket => check_ticket(options, args, file, &text)?,
+            JsonKind::Routes if args.file == Path::new(STDIN_PATH) => {
+                let message = "a route table is read from a file only; write it to one".to_owned();
+                return Err(Error::CannotCheck { message });
+            }
+            JsonKind::Routes => return Err(run_adapter(options, args)),
+            JsonKind::Unknown(finding) => Report::new(file, ConfigFormat::Unknown, vec![finding]),
+        },
         Some('[' | ';' | '#') if args.same => {
             let message = format!("{file}: daemons do not tell their settings; leave out --same");
             return Err(Error::CannotCheck { message });
@@ -69,11 +73,6 @@
     report.conclude(args.same)
 }
 
-/// Whether a JSON text is a route table. Tickets have no routes.
-fn is_route_document(text: &str) -> bool {
-    serde_json::from_str::<Value>(text).is_ok_and(|document| document.get("routes").is_some())
-}
-
 /// Becomes the adapter's program, which lies beside this one; returns only if that fails.
 fn run_adapter(options: &Options, args: &ConfigCheckArgs) -> Error {
     let beside = std::env::current_exe().map(|tool| tool.with_file_name(ROUTES_PROGRAM));
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod evacuations;
 mod events;
 mod health;
+mod json_kind;
 mod options;
 mod parts;
 mod ticket;
