Hide values in findings on files that can't be read

Cause: serde quotes the value that stands where another type is expected, so an API key in place of a list was printed. Change: Finding::unreadable hides strings, numbers, booleans and unknown variants in the message; names of fields stay. The refusals of daemons are as before.

--- a/src/check/compare.rs
+++ b/src/check/compare.rs
@@ -1,10 +1,8 @@
+use super::hidden::HIDDEN;
 use super::{Change, Difference, FieldDifference};
 use serde_json::{Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Shown instead of the value of a field that is secret.
-const HIDDEN: &str = "(not shown)";
-
 /// A list of a configuration, whose entries are told apart by some of their fields.
 #[derive(Debug, Clone, Copy)]
 pub struct ListSpec {
--- a/src/check/finding.rs
+++ b/src/check/finding.rs
@@ -1,4 +1,5 @@
 use super::Place;
+use super::hidden::hide_values;
 use serde::Serialize;
 use std::fmt;
 
@@ -49,12 +50,13 @@
         Self { kind, place, message: message.into() }
     }
 
-    /// A finding on a text that is not JSON, or not of the right shape.
+    /// A finding on a text that is not JSON, or not of the right shape. The values that the message quotes
+    /// are hidden, as an API key may be among them.
     pub fn unreadable<S>(error: &serde_json::Error, message: S) -> Self
     where
-        S: Into<String>,
+        S: AsRef<str>,
     {
-        Self::new(FindingKind::Refused, Place::of_json(error), message)
+        Self::new(FindingKind::Refused, Place::of_json(error), hide_values(message.as_ref()))
     }
 
     /// Whether it counts: whether it is wrong for sure.
--- a/src/check/mod.rs
+++ b/src/check/mod.rs
@@ -5,6 +5,7 @@
 mod difference;
 mod finding;
 mod fleet_facts;
+mod hidden;
 mod places;
 mod region_check;
 mod report;
--- a/tests/ticket_check.rs
+++ b/tests/ticket_check.rs
@@ -180,6 +180,41 @@
     assert!(finding.message.contains(case.message), "{finding}");
 }
 
+/// A ticket with a key where something else is expected, and what is said of it.
+struct KeyCase {
+    part: &'static str,
+    message: &'static str,
+}
+
+#[rstest]
+#[case::text(KeyCase {
+    part: r#""keys": "sk-1""#, message: "invalid type: string (not shown), expected a sequence",
+})]
+#[case::quotes(KeyCase {
+    part: r#""keys": "a\"sk-1\\\\\"sk-1\\""#,
+    message: "invalid type: string (not shown), expected a sequence",
+})]
+#[case::number(KeyCase {
+    part: r#""keys": 5551"#, message: "invalid type: integer (not shown), expected a sequence",
+})]
+#[case::fraction(KeyCase {
+    part: r#""keys": 5551.5"#, message: "invalid type: floating point (not shown), expected a sequence",
+})]
+#[case::variant(KeyCase {
+    part: r#""keys": [], "kinds": [{ "kind": "k", "route": "sk-1`, " }]"#,
+    message: "unknown variant (not shown), expected",
+})]
+fn a_key_is_not_shown_where_it_cannot_be_read(#[case] case: KeyCase) {
+    let KeyCase { part, message } = case;
+    let organisations = format!(r#"[{{ "name": "karri", {part} }}]"#);
+    let text = format!(r#"{{ "number": 1, "author": "a", "organisations": {organisations} }}"#);
+    let finding = TicketCheck::new(&text).expect_err("it is no ticket");
+    assert!(finding.message.contains(message), "{finding}");
+    let shown = finding.message.split(" at line ").next().unwrap_or_default();
+    assert!(!shown.contains("sk-1") && !shown.contains("5551"), "{finding}");
+    assert_eq!((finding.place.line, finding.place.column.is_some()), (Some(1), true));
+}
+
 /// What the leader answers settles what the ticket alone leaves open.
 #[test]
 fn the_answer_of_the_leader_settles_what_is_unsure() {
